Add the design page, the core model and the ports

The design page settles ownership, policy, configuration and the module layout at the target scale; the model, errors and ports fix the interfaces between the parts.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PYTHON ?= python3
+BIN := .venv/bin
+STAMP := .venv/.installed
+
+$(STAMP): requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install -q --require-hashes -r requirements-dev.txt
+	$(BIN)/pip install -q --no-deps --no-build-isolation -e .
+	touch $@
+
+.PHONY: install demo serve test lint format soak bench capacity proto
+install: $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/oriolearch demo
+
+serve: $(STAMP)
+	$(BIN)/oriolearch serve
+
+test: $(STAMP)
+	$(BIN)/pytest
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check src tests bench
+	$(BIN)/flake8 src tests bench
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+
+format: $(STAMP)
+	$(BIN)/ruff format src tests bench
--- /dev/null
+++ b/src/oriolearch/__init__.py
@@ -0,0 +1,1 @@
+"""A router for servers that own keys exclusively."""
--- /dev/null
+++ b/src/oriolearch/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to callers, upstreams, the platform, peers and operators."""
--- /dev/null
+++ b/src/oriolearch/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the router, without input or output."""
--- /dev/null
+++ b/src/oriolearch/core/errors.py
@@ -0,0 +1,103 @@
+"""The exception tree.
+
+Each error carries the data that makes its message useful; every error of the
+package derives from :class:`OriolearchError`.
+"""
+
+
+class OriolearchError(Exception):
+    """Base of all errors of the package."""
+
+
+class ValidationError(OriolearchError):
+    """A value from outside is not acceptable.
+
+    :param source: file, table or endpoint that the value came from.
+    :param field: dotted path of the field.
+    :param value: the value as it was given.
+    :param reason: what is wrong with it.
+    """
+
+    def __init__(
+        self,
+        source: str,
+        field: str,
+        value: object,
+        reason: str,
+    ) -> None:
+        super().__init__(f'{source}: {field}: {reason}, got {value!r}')
+        self.source = source
+        self.field = field
+        self.value = value
+        self.reason = reason
+
+
+class StaleError(OriolearchError):
+    """A message carries an older incarnation, term, epoch or version.
+
+    :param kind: which of them, for example ``'term'``.
+    :param given: the value in the message.
+    :param known: the value that the receiver knows.
+    """
+
+    def __init__(self, kind: str, given: int, known: int) -> None:
+        super().__init__(f'stale {kind}: got {given}, known {known}')
+        self.kind = kind
+        self.given = given
+        self.known = known
+
+
+class InvariantError(OriolearchError):
+    """A promise of the system is broken; the process must not go on.
+
+    :param invariant: its name, for example ``'single-owner'``.
+    :param detail: the state that breaks it.
+    """
+
+    def __init__(self, invariant: str, detail: str) -> None:
+        super().__init__(f'invariant {invariant} broken: {detail}')
+        self.invariant = invariant
+        self.detail = detail
+
+
+class ConflictError(OriolearchError):
+    """A conditional edit lost against a newer version.
+
+    :param given: version that the editor saw.
+    :param current: version in force.
+    :param changes: one line for each change between the two.
+    """
+
+    def __init__(
+        self,
+        given: int,
+        current: int,
+        changes: tuple[str, ...] = (),
+    ) -> None:
+        super().__init__(f'edit of version {given}, current is {current}')
+        self.given = given
+        self.current = current
+        self.changes = changes
+
+
+class PlatformError(OriolearchError):
+    """A call to the platform did not succeed."""
+
+
+class PlatformRefusedError(PlatformError):
+    """The platform refused the call before it had any effect."""
+
+
+class OutcomeUnknownError(PlatformError):
+    """The answer was lost; the call may have taken effect."""
+
+
+class ConditionFailedError(PlatformError):
+    """A transaction was refused because a row had another version.
+
+    :param failed: ``(table, key, current version)`` of each such row.
+    """
+
+    def __init__(self, failed: tuple[tuple[str, str, int], ...]) -> None:
+        super().__init__(f'conditions failed: {failed}')
+        self.failed = failed
