--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, run by make bench and make capacity."""
--- /dev/null
+++ b/src/oriolearch/cli.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- a/src/oriolearch/core/model.py
+++ b/src/oriolearch/core/model.py
@@ -12,7 +12,7 @@
 
 SHARDS_PER_SEGMENT = 256
 RATE_MARGIN = 0.01  # two clocks differ by less than this share in rate
-FIXED_MARGIN_S = 0.010
+FIXED_MARGIN_S = 0.01
 
 
 class Mobility(StrEnum):
@@ -87,6 +87,7 @@
     """A named set of upstreams with its policy.
 
     :param shard_count: shards of a keyed pool, a multiple of 256.
+    :param order_limit_s: without fencing, the longest run of an order.
     :param timeout_s: default deadline of a request in seconds.
     """
 
@@ -96,6 +97,7 @@
     shard_count: int = 1024
     fencing: Fencing = Fencing.CHECKED
     mobility: Mobility = Mobility.MOVABLE
+    order_limit_s: float = 1.0
     timeout_s: float = 10.0
     hedge_share: float = 0.05
     retry_share: float = 0.1
--- /dev/null
+++ b/src/oriolearch/demo.py
@@ -0,0 +1,1 @@
+"""Demonstrate the whole path on loopback, with losses."""
--- /dev/null
+++ b/src/oriolearch/host.py
@@ -0,0 +1,1 @@
+"""Wire one host of the system: its tasks and adapters."""
--- /dev/null
+++ b/src/oriolearch/settings.py
@@ -0,0 +1,1 @@
+"""Settings of a host: JSON with comments, checked by models."""
