Add the platform client and the stand-ins

The router meets the platform and its upstreams only through the protocols of docs/design.md, and needs servers with faults to be tested against.

--- /dev/null
+++ b/src/oriolearch/adapters/platform.py
@@ -0,0 +1,215 @@
+"""HTTP client of the platform's tables, objects and host list."""
+
+import json
+from collections.abc import Iterable
+from dataclasses import asdict
+from http import HTTPStatus
+from typing import Any, TypeVar
+from urllib.parse import quote, urlencode
+
+import urllib3
+from pydantic import BaseModel, NonNegativeInt, TypeAdapter, ValidationError
+
+from oriolearch.core.errors import (
+    ConditionFailedError,
+    OutcomeUnknownError,
+    PlatformRefusedError,
+)
+from oriolearch.ports import Condition, HostEntry, VersionedRow, Write
+
+ZONE_HEADER = 'oriolearch-zone'
+
+_Answer = TypeVar('_Answer')
+
+
+class _RowAnswer(BaseModel):
+    version: NonNegativeInt
+    value: dict[str, Any]
+
+
+class _AbsentAnswer(BaseModel):
+    version: NonNegativeInt
+
+
+class _ScannedRow(_RowAnswer):
+    key: str
+
+
+class _CommitAnswer(BaseModel):
+    versions: list[NonNegativeInt]
+
+
+class _FailedCondition(BaseModel):
+    table: str
+    key: str
+    version: NonNegativeInt
+
+
+class _FailedAnswer(BaseModel):
+    failed: list[_FailedCondition]
+
+
+_SCAN = TypeAdapter(list[_ScannedRow])
+_HOSTS = TypeAdapter(list[HostEntry])
+_ROW = TypeAdapter(_RowAnswer)
+_ABSENT = TypeAdapter(_AbsentAnswer)
+_COMMIT = TypeAdapter(_CommitAnswer)
+_FAILED = TypeAdapter(_FailedAnswer)
+
+
+class HttpPlatform:
+    """Speaks the platform protocol of docs/design.md, section 3.
+
+    Implements ``TableService``, ``ObjectStore`` and ``HostList``. No call is
+    repeated: the caller decides what a lost answer means.
+
+    :param address: ``host:port`` of the platform.
+    :param zone: zone of this client, sent with each call.
+    :param timeout_s: longest duration of one call in seconds.
+    :param connections: connections that are kept open.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        zone: str,
+        timeout_s: float,
+        connections: int = 4,
+    ) -> None:
+        host, _, port = address.rpartition(':')
+        self.address = address
+        self.headers = {ZONE_HEADER: zone}
+        self.pool = urllib3.HTTPConnectionPool(
+            host,
+            int(port),
+            timeout=urllib3.Timeout(total=timeout_s),
+            maxsize=connections,
+            block=False,
+            retries=False,
+        )
+
+    def read(self, table: str, key: str) -> VersionedRow:
+        """Read one row."""
+        path = f'/tables/{_quoted(table)}/rows/{_quoted(key)}'
+        response = self._call('GET', path)
+        if response.status == HTTPStatus.NOT_FOUND:
+            return VersionedRow(key, _parsed(_ABSENT, response).version, None)
+        answer = _parsed(_ROW, _expected(response))
+        return VersionedRow(key, answer.version, answer.value)
+
+    def scan(self, table: str, prefix: str = '') -> list[VersionedRow]:
+        """Read all rows whose key starts with a prefix, sorted by key."""
+        query = urlencode({'prefix': prefix})
+        response = self._call('GET', f'/tables/{_quoted(table)}/rows?{query}')
+        rows = _parsed(_SCAN, _expected(response))
+        return [
+            VersionedRow(row.key, row.version, row.value)
+            for row in sorted(rows, key=lambda row: row.key)
+        ]
+
+    def commit(
+        self,
+        conditions: Iterable[Condition],
+        writes: Iterable[Write],
+    ) -> list[int]:
+        """Apply all writes if all conditions hold; give the new versions."""
+        written = [
+            {'table': write.table, 'key': write.key, 'value': write.row}
+            for write in writes
+        ]
+        transaction = {
+            'conditions': [asdict(condition) for condition in conditions],
+            'writes': written,
+        }
+        response = self._call(
+            'POST',
+            '/tables:commit',
+            json.dumps(transaction).encode(),
+        )
+        if response.status == HTTPStatus.CONFLICT:
+            failed = _parsed(_FAILED, response).failed
+            raise ConditionFailedError(
+                tuple((row.table, row.key, row.version) for row in failed),
+            )
+        versions = _parsed(_COMMIT, _expected(response)).versions
+        if len(versions) != len(written):
+            raise OutcomeUnknownError(
+                f'commit of {len(written)} rows gave versions {versions}',
+            )
+        return versions
+
+    def put(self, name: str, blob: bytes) -> None:
+        """Store a blob under a name."""
+        _expected(self._call('PUT', f'/objects/{_quoted(name)}', blob))
+
+    def get(self, name: str) -> bytes | None:
+        """Read a blob; ``None`` when absent."""
+        response = self._call('GET', f'/objects/{_quoted(name)}')
+        if response.status == HTTPStatus.NOT_FOUND:
+            return None
+        return _expected(response).data
+
+    def hosts(self) -> list[HostEntry]:
+        """Read the list of hosts."""
+        return _parsed(_HOSTS, _expected(self._call('GET', '/hosts')))
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self.pool.close()
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+    ) -> urllib3.BaseHTTPResponse:
+        """Send one request.
+
+        A connection that could not be opened has carried no byte, also when
+        opening it timed out, so that nothing took effect.
+        """
+        call = f'{method} {self.address}{path}'
+        try:
+            response = self.pool.urlopen(
+                method,
+                path,
+                body=body,
+                headers=self.headers,
+                redirect=False,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as refused:
+            raise PlatformRefusedError(f'{call}: {refused}') from refused
+        except urllib3.exceptions.HTTPError as broken:
+            raise OutcomeUnknownError(f'{call}: {broken}') from broken
+        if response.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            raise PlatformRefusedError(f'{call}: status 503')
+        return response
+
+
+def _quoted(name: str) -> str:
+    return quote(name, safe='')
+
+
+def _expected(
+    response: urllib3.BaseHTTPResponse,
+) -> urllib3.BaseHTTPResponse:
+    if response.status != HTTPStatus.OK:
+        raise OutcomeUnknownError(
+            f'{response.url}: unexpected status {response.status}',
+        )
+    return response
+
+
+def _parsed(
+    model: TypeAdapter[_Answer],
+    response: urllib3.BaseHTTPResponse,
+) -> _Answer:
+    try:
+        return model.validate_json(response.data, strict=True)
+    except ValidationError as invalid:
+        raise OutcomeUnknownError(
+            f'{response.url}: malformed answer: {invalid}',
+        ) from invalid
--- /dev/null
+++ b/src/oriolearch/standins/server.py
@@ -0,0 +1,343 @@
+"""HTTP server on the loopback interface that all stand-ins share."""
+
+import json
+import logging
+import queue
+import socket
+import struct
+import threading
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import suppress
+from dataclasses import dataclass, field
+from enum import Enum
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+from cheroot import server as cheroot_server
+from cheroot import wsgi
+from cheroot.workers import threadpool
+
+logger = logging.getLogger(__name__)
+
+CHUNK_BYTES = 65536
+MIN_THREADS = 2  # kept by an idle stand-in
+SPARE_THREADS = 64  # for calls over the connection limit, to be refused
+BACKLOG = 128
+KEEP_ALIVE_S = 60
+SELECT_PERIOD_S = 0.5
+POKE_PERIOD_S = 0.01
+SHUTDOWN_S = 2
+
+_LINGER_RESET = struct.pack('ii', 1, 0)  # close() then sends a reset
+
+
+class Fate(Enum):
+    """What becomes of an answer on its way to the client."""
+
+    WHOLE = 'whole'
+    CUT = 'cut'  # half of the body, then the connection is closed
+    LOST = 'lost'  # the connection is closed without an answer
+
+
+@dataclass(slots=True)
+class Request:
+    """A request as received.
+
+    :param segments: unquoted segments of the path.
+    :param headers: names in lower case.
+    :param connections: connections open at the server, this one included.
+    :param read: reads at most so many bytes of the body.
+    """
+
+    method: str
+    path: str
+    segments: tuple[str, ...]
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    connections: int
+    read: Callable[[int], bytes]
+
+    def body(self) -> bytes | None:
+        """Read the whole body; ``None`` when the client broke off."""
+        declared = self.headers.get('content-length')
+        parts = []
+        try:
+            while part := self.read(CHUNK_BYTES):
+                parts.append(part)
+        except (OSError, ValueError):
+            return None
+        body = b''.join(parts)
+        is_whole = declared is None or len(body) == int(declared)
+        return body if is_whole else None
+
+    def json(self) -> Any:
+        """Parse the body.
+
+        :raises ValueError: when it is not JSON.
+        """
+        return json.loads(self.body() or b'null')
+
+
+@dataclass(slots=True)
+class Response:
+    """An answer to send.
+
+    :param chunks: the body, streamed; ``length`` is its size in bytes.
+    """
+
+    status: int = HTTPStatus.OK
+    headers: dict[str, str] = field(default_factory=dict)
+    chunks: Iterator[bytes] = iter(())
+    length: int = 0
+    fate: Fate = Fate.WHOLE
+
+    @classmethod
+    def from_bytes(
+        cls,
+        body: bytes,
+        status: int = HTTPStatus.OK,
+        **headers: str,
+    ) -> 'Response':
+        """Answer with a body in memory."""
+        named = {name.replace('_', '-'): text for name, text in headers.items()}
+        return cls(status, named, iter((body,)), len(body))
+
+    @classmethod
+    def from_json(
+        cls, value: object, status: int = HTTPStatus.OK
+    ) -> 'Response':
+        """Answer with a JSON document."""
+        return cls.from_bytes(
+            json.dumps(value).encode(),
+            status,
+            content_type='application/json',
+        )
+
+    @classmethod
+    def lost(cls) -> 'Response':
+        """Close the connection without an answer."""
+        return cls(fate=Fate.LOST)
+
+
+Respond = Callable[[Request], Response]
+
+
+class _Connection(cheroot_server.HTTPConnection):
+    """Counts open connections and tells the pool when a thread is free."""
+
+    def __init__(self, *given: Any) -> None:
+        super().__init__(*given)
+        self.is_open = True
+        self.server.count_connections(1)
+
+    def communicate(self) -> Any:
+        try:
+            return super().communicate()  # type: ignore[no-untyped-call]
+        finally:
+            self.server.requests.finished()
+
+    def close(self) -> None:
+        if self.is_open:
+            self.is_open = False
+            self.server.count_connections(-1)
+        super().close()
+
+
+class _GrowingThreadPool(threadpool.ThreadPool):
+    """Starts a thread whenever all others are busy.
+
+    A cheroot pool has a fixed size, so that frozen requests would keep
+    control calls out, and 30 stand-ins would need thousands of threads.
+    """
+
+    def __init__(self, server: Any, maximum: int) -> None:
+        super().__init__(server, min=MIN_THREADS, max=maximum)
+        self.lock = threading.Lock()
+        self.busy = 0
+        self._threads: list[threading.Thread] = []
+
+    def put(self, obj: Any) -> None:
+        with self.lock:
+            self.busy += 1
+            if len(self._threads) < min(self.busy, self.max):
+                self._threads.append(self._spawn_worker())
+        super().put(obj)
+
+    def finished(self) -> None:
+        with self.lock:
+            self.busy -= 1
+
+    def _spawn_worker(self) -> Any:
+        worker = threadpool.WorkerThread(  # type: ignore[no-untyped-call]
+            self.server,
+        )
+        worker.daemon = True
+        worker.start()
+        return worker
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Passes a request to the stand-in and carries out the answer's fate."""
+
+    def respond(self) -> None:
+        app = self.req.server.wsgi_app
+        response: Response = app(_request(self.env, self.req))
+        if response.fate is Fate.LOST:
+            self._lose()
+            return
+        status = HTTPStatus(response.status)
+        headers = {**response.headers, 'content-length': str(response.length)}
+        self.start_response(
+            f'{status.value} {status.phrase}',
+            list(headers.items()),
+        )
+        if self.req.method != b'HEAD':
+            self._send(response)
+
+    def _send(self, response: Response) -> None:
+        limit = response.length
+        if response.fate is Fate.CUT:
+            limit //= 2
+        self.req.ensure_headers_sent()
+        for chunk in response.chunks:
+            self.req.write(chunk[:limit])
+            limit -= len(chunk)
+            if limit <= 0:
+                break
+        if response.fate is Fate.CUT:
+            self.req.close_connection = True
+
+    def _lose(self) -> None:
+        self.req.sent_headers = True
+        self.req.close_connection = True
+        sock = self.req.conn.socket
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+
+
+def _request(environ: Mapping[str, Any], raw: Any) -> Request:
+    uri = urlsplit(environ['REQUEST_URI'])
+    headers = {
+        name.decode('latin-1').lower(): text.decode('latin-1')
+        for name, text in raw.inheaders.items()
+    }
+    return Request(
+        method=environ['REQUEST_METHOD'],
+        path=uri.path,
+        segments=tuple(unquote(part) for part in uri.path.split('/')[1:]),
+        query=dict(parse_qsl(uri.query, keep_blank_values=True)),
+        headers=headers,
+        connections=raw.server.open_connections,
+        read=environ['wsgi.input'].read,
+    )
+
+
+class _Server(wsgi.Server):
+    """A cheroot server with counted connections and a growing pool."""
+
+    ConnectionClass = _Connection
+    expiration_interval = SELECT_PERIOD_S
+    keep_alive_conn_limit: Any = None
+
+    def __init__(
+        self,
+        bind_address: tuple[str, int],
+        respond: Respond,
+        connections: int,
+    ) -> None:
+        super().__init__(
+            bind_address,
+            respond,
+            request_queue_size=BACKLOG,
+            timeout=KEEP_ALIVE_S,
+            shutdown_timeout=SHUTDOWN_S,
+        )
+        self.gateway = _Gateway
+        self.requests = _GrowingThreadPool(self, connections + SPARE_THREADS)
+        self.open_connections = 0
+        self.count_lock = threading.Lock()
+
+    def count_connections(self, change: int) -> None:
+        with self.count_lock:
+            self.open_connections += change
+
+    def error_log(
+        self,
+        msg: str = '',
+        level: int = logging.INFO,
+        traceback: bool = False,
+    ) -> None:
+        logger.log(min(level, logging.INFO), msg, exc_info=traceback)
+
+
+class LoopbackServer:
+    """Serves a function from requests to answers on 127.0.0.1.
+
+    It may be started again after a stop and then keeps its port.
+
+    :param connections: connections served at the same time.
+    """
+
+    def __init__(
+        self,
+        respond: Respond,
+        port: int = 0,
+        connections: int = BACKLOG,
+    ) -> None:
+        self.respond = respond
+        self.port = port
+        self.connections = connections
+        self.server: _Server | None = None
+        self.thread: threading.Thread | None = None
+
+    @property
+    def address(self) -> str:
+        """Give ``host:port``; the port is known after the first start."""
+        return f'127.0.0.1:{self.port}'
+
+    def start(self) -> None:
+        """Bind the port and serve in threads of this process."""
+        server = _Server(
+            ('127.0.0.1', self.port),
+            self.respond,
+            self.connections,
+        )
+        server.prepare()
+        self.port = server.bind_addr[1]
+        self.server = server
+        self.thread = threading.Thread(target=server.serve, daemon=True)
+        self.thread.start()
+
+    def _wake_selector(self) -> None:
+        """Connect once; cheroot notes a stop only after an event."""
+        with suppress(OSError):
+            socket.create_connection(('127.0.0.1', self.port), 1).close()
+
+    def stop(self) -> None:
+        """Close the port and all connections and end all threads."""
+        server = self.server
+        if server is None:
+            return
+        self.server = None
+        stopping = threading.Thread(target=server.stop, daemon=True)
+        stopping.start()
+        while stopping.is_alive():
+            self._wake_selector()
+            stopping.join(POKE_PERIOD_S)
+        if self.thread is not None:
+            self.thread.join()
+        # cheroot keeps every server in this dictionary for ever
+        statistics: dict[str, Any] = getattr(logging, 'statistics', {})
+        statistics.pop(f'Cheroot HTTPServer {id(server)}', None)
+        _close_queued(server)
+
+
+def _close_queued(server: _Server) -> None:
+    """Close connections that no thread has taken up."""
+    while True:
+        try:
+            conn = server.requests.get(block=False)
+        except queue.Empty:
+            return
+        if isinstance(conn, _Connection):
+            conn.close()
