--- a/src/oriolearch/standins/plain.py
+++ b/src/oriolearch/standins/plain.py
@@ -41,6 +41,7 @@
     :param fall_over_at: orders refused within a second, while cold, after
         which it answers nothing for ``fall_over_s``.
     :param service_factor: how much longer an order runs while cold.
+    :param is_announced: whether the health endpoint says that it is cold.
     """
 
     requests: int = 0
@@ -48,6 +49,7 @@
     fall_over_at: int = 8
     fall_over_s: float = 2
     service_factor: float = 1
+    is_announced: bool = True
 
 
 class Lagging(Generic[_Value]):
@@ -74,8 +76,8 @@
 class PlainStandin(UpstreamStandin):
     """A plain upstream on a loopback port.
 
-    Extra faults: ``cold_again`` makes it cold without an announcement, as
-    its health goes on to say what it said before until the lag has passed.
+    The fault ``cold_again`` begins a cold start; the health endpoint tells
+    of it as late as of any other change.
 
     :param lag_s: age of what the health and load endpoints report.
     :param drain_s: while draining, it serves so long and then refuses.
@@ -118,10 +120,12 @@
         )
 
     def state(self) -> State:
-        """Give the state as of now."""
+        """Give the state to be reported, as of now."""
         if self.draining_since is not None:
             return State.DRAINING
-        return State.COLD if self.is_cold() else State.READY
+        if self.is_cold() and self.cold_start.is_announced:
+            return State.COLD
+        return State.READY
 
     def drain(self, is_draining: bool = True) -> None:
         """Begin to leave, or stay after all."""
--- a/src/oriolearch/standins/server.py
+++ b/src/oriolearch/standins/server.py
@@ -257,6 +257,17 @@
         self.open_connections = 0
         self.count_lock = threading.Lock()
 
+    @staticmethod
+    def bind_socket(sock: Any, bind_addr: Any) -> Any:
+        """Bind so that a restart may use the port again at once.
+
+        cheroot does not set this for port 0, and accepted connections take
+        the option over from the listening socket.
+        """
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(bind_addr)
+        return sock
+
     def count_connections(self, change: int) -> None:
         with self.count_lock:
             self.open_connections += change
--- a/src/oriolearch/standins/upstream.py
+++ b/src/oriolearch/standins/upstream.py
@@ -380,21 +380,17 @@
         A process that was frozen reads ``oriolearch-deadline-ms`` only when
         it goes on, so that only a deadline in its own clock drops old orders.
         """
-        remaining = request.headers.get(DEADLINE_MS)
-        deadlines = []
-        if remaining is not None:
-            deadlines.append(
-                self.clock.monotonic() + float(remaining) / 1000,
-            )
-        at = request.headers.get(DEADLINE_CLOCK)
-        if at is not None:
-            deadlines.append(float(at))
+        remaining_ms = _number(request, DEADLINE_MS)
+        deadline = min(
+            self.clock.monotonic() + remaining_ms / 1000,
+            _number(request, DEADLINE_CLOCK),
+        )
         return Order(
             request,
             request.headers.get(ATTEMPT, ''),
             request.headers.get(REQUEST, ''),
             body,
-            min(deadlines, default=math.inf),
+            deadline,
             threading.Condition(self.lock),
         )
 
@@ -453,6 +449,7 @@
         except RefusedError as broken_off:
             self.counts[f'broken_off/{broken_off.reason}'] += 1
             return self._broken_off(broken_off.reason, order)
+        self.counts['finished'] += 1
         self.finished(order)
         return self._answer(order)
 
@@ -529,6 +526,17 @@
             order.condition.notify_all()
 
 
+def _number(request: Request, header: str) -> float:
+    """Read a header; infinite when absent.
+
+    :raises ValueError: when it is not a number.
+    """
+    number = float(request.headers.get(header, math.inf))
+    if math.isnan(number):
+        raise ValueError(f'{header} is not a number')
+    return number
+
+
 def _echoed(order: Order) -> dict[str, str]:
     """Give the ids of an order as far as it carries them."""
     ids = {ATTEMPT: order.attempt, REQUEST: order.caller_request}
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,92 @@
+"""Clients and waiting that tests of several modules share."""
+
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import pytest
+import urllib3
+
+TIMEOUT_S = 20
+POLL_S = 0.005
+
+
+class Client:
+    """Calls a server and gives what a router would see.
+
+    A broken connection shows as status 0.
+    """
+
+    def __init__(self, address: str, executor: ThreadPoolExecutor) -> None:
+        self.address = address
+        self.executor = executor
+        self.pool = urllib3.PoolManager(maxsize=32, retries=False)
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        timeout_s: float = TIMEOUT_S,
+        **headers: object,
+    ) -> tuple[int, urllib3.HTTPHeaderDict, bytes]:
+        """Send a request; header names have ``_`` for ``-``."""
+        named = {
+            f'oriolearch-{name.replace("_", "-")}': str(text)
+            for name, text in headers.items()
+        }
+        is_raw = body is None or isinstance(body, bytes)
+        try:
+            response = self.pool.request(
+                method,
+                f'http://{self.address}{path}',
+                headers=named,
+                timeout=timeout_s,
+                retries=False,
+                **{'body' if is_raw else 'json': body},
+            )
+        except urllib3.exceptions.HTTPError:
+            return 0, urllib3.HTTPHeaderDict(), b''
+        return response.status, response.headers, response.data
+
+    def json(self, method: str, path: str, body: Any = None) -> Any:
+        """Send a request and give the parsed answer."""
+        response = self.pool.request(
+            method,
+            f'http://{self.address}{path}',
+            json=body,
+            timeout=TIMEOUT_S,
+            retries=False,
+        )
+        return response.json()
+
+    def later(self, *given: Any, **headers: Any) -> Callable[[], Any]:
+        """Call in another thread; the result waits for its end."""
+        future = self.executor.submit(self.call, *given, **headers)
+        return lambda: future.result(TIMEOUT_S)
+
+
+@pytest.fixture
+def connect() -> Iterator[Callable[[Any], Client]]:
+    """Start stand-ins and give clients; both are closed after the test."""
+    with ThreadPoolExecutor(32) as executor:
+        started: list[Any] = []
+
+        def begin(standin: Any) -> Client:
+            if standin not in started:
+                standin.start()
+                started.append(standin)
+            return Client(standin.address, executor)
+
+        yield begin
+        for standin in started:
+            standin.stop()
+
+
+def eventually(is_true: Callable[[], object]) -> None:
+    """Wait until a condition holds; fail after a generous time-out."""
+    until = time.monotonic() + TIMEOUT_S
+    while not is_true():
+        assert time.monotonic() < until, 'condition did not come true'
+        time.sleep(POLL_S)
--- /dev/null
+++ b/tests/test_grant_client.py
@@ -0,0 +1,205 @@
+"""The renewer's client: ends of grants in the server's own clock."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from oriolearch.adapters.grants import GrantClient, GrantStatus, ServerClock
+from oriolearch.clock import ManualClock, RealClock
+from oriolearch.core.messages import AuthorityKey, Mandate
+from oriolearch.core.model import FIXED_MARGIN_S, RATE_MARGIN, Mobility
+from oriolearch.standins.keyed import KeyedStandin
+from oriolearch.standins.server import LoopbackServer, Response
+from tests.conftest import TIMEOUT_S, Client, eventually
+
+Connect = Callable[[Any], Client]
+
+GRANT_S = 0.7
+SERVER_START_S = 5000
+MANDATE = Mandate(
+    authority=AuthorityKey('a', Mobility.MOVABLE),
+    term=5,
+    pool='p',
+    server='s',
+    version=3,
+    duration_s=0.6,
+    shards=((7, 20), (8, 21)),
+    keys=(('hot', 25),),
+)
+NEXT_TERM = Mandate(MANDATE.authority, 6, 'p', 's', 1, 0.6, ((7, 20),))
+
+
+@pytest.fixture
+def standin(connect: Connect) -> KeyedStandin:
+    keyed = KeyedStandin(ManualClock(SERVER_START_S))
+    connect(keyed)
+    return keyed
+
+
+def client(
+    standin: KeyedStandin | LoopbackServer,
+    timeout_s: float = TIMEOUT_S,
+) -> GrantClient:
+    return GrantClient(standin.address, ManualClock(), GRANT_S, timeout_s)
+
+
+@pytest.mark.parametrize('rate', [1 - RATE_MARGIN, 1, 1 + RATE_MARGIN])
+@pytest.mark.parametrize('answer_delay_s', [0, 0.001, 0.3])
+@pytest.mark.parametrize('age_s', [0, 0.2, 30])
+def test_grant_is_over_when_the_granter_says(
+    rate: float,
+    answer_delay_s: float,
+    age_s: float,
+) -> None:
+    """A grant that outlasts the granter's count gives a shard two owners."""
+    answered_at = 1000
+    read_at = answered_at - answer_delay_s
+    reading = ServerClock(SERVER_START_S, 1, 0, answered_at)
+    ends_at = answered_at + age_s + GRANT_S
+    expires_at = reading.expiry(ends_at)
+    server_then = SERVER_START_S + (ends_at - read_at) * rate
+    assert expires_at <= server_then
+    server_now = SERVER_START_S + (ends_at - GRANT_S - read_at) * rate
+    held_s = expires_at - FIXED_MARGIN_S - server_now
+    lost_s = answer_delay_s + 2 * RATE_MARGIN * (age_s + GRANT_S)
+    assert held_s >= GRANT_S * rate - lost_s * rate - 2 * FIXED_MARGIN_S
+
+
+def advance_both(
+    standin: KeyedStandin,
+    granter: GrantClient,
+    duration_s: float,
+) -> None:
+    for clock in (standin.clock, granter.clock):
+        assert isinstance(clock, ManualClock)
+        clock.advance(duration_s)
+
+
+def test_list_renewal_and_revocation(standin: KeyedStandin) -> None:
+    """A renewal that does not extend would end grants for no reason."""
+    granter = client(standin)
+    first = granter.send_list(MANDATE)
+    assert first.status is GrantStatus.CONFIRMED
+    assert first.ends_at == granter.ends_at == 1000 + GRANT_S
+    assert standin.holds(7, 20, 'k') and standin.holds(8, 25, 'hot')
+    advance_both(standin, granter, 0.5)
+    assert granter.renew(MANDATE).status is GrantStatus.CONFIRMED
+    assert granter.ends_at == 1000.5 + GRANT_S
+    advance_both(standin, granter, 0.65)
+    assert standin.holds(7, 20, 'k')
+    advance_both(standin, granter, 0.05)
+    assert not standin.holds(7, 20, 'k')
+    granter.renew(MANDATE)
+    assert granter.revoke(MANDATE, [7]).status is GrantStatus.CONFIRMED
+    assert not standin.holds(7, 20, 'k') and standin.holds(8, 21, 'k')
+    read = granter.read_clock()
+    assert read.server is not None and read.server.epoch_floor == 25
+
+
+@pytest.mark.parametrize(
+    ('held', 'given', 'kind'),
+    [
+        (None, MANDATE, 'list term'),
+        (NEXT_TERM, MANDATE, 'term'),
+        (MANDATE, NEXT_TERM, 'list term'),
+    ],
+)
+def test_stale_renewals_give_nothing(
+    standin: KeyedStandin,
+    held: Mandate | None,
+    given: Mandate,
+    kind: str,
+) -> None:
+    """A refused renewal must not be counted as a grant."""
+    if held is not None:
+        client(standin).send_list(held)
+    granter = client(standin)
+    outcome = granter.renew(given)
+    assert outcome.status is GrantStatus.STALE
+    assert outcome.stale is not None and outcome.stale.kind == kind
+    assert granter.ends_at < 0
+
+
+def test_restarted_server_gets_no_old_clock(standin: KeyedStandin) -> None:
+    """An end in another clock could lie far in the future."""
+    reading = client(standin).read_clock().server
+    standin.stop()
+    standin.clock = ManualClock(10)
+    standin.start()
+    granter = client(standin)
+    granter.server = reading
+    outcome = granter.send_list(MANDATE)
+    assert outcome.stale is not None
+    assert outcome.stale.kind == 'incarnation'
+    assert granter.send_list(MANDATE).status is GrantStatus.CONFIRMED
+    assert standin.grants['a/movable'].expires_at < 10 + GRANT_S
+
+
+@pytest.mark.parametrize(
+    ('fault', 'is_held'),
+    [('reset_before', False), ('reset_after_run', True)],
+)
+def test_lost_answers_count_as_grants(
+    standin: KeyedStandin,
+    fault: str,
+    is_held: bool,
+) -> None:
+    """A grant whose answer was lost holds as any other."""
+    granter = client(standin)
+    granter.read_clock()
+    standin.set_faults({fault: {'path': '/grants', 'count': 1}})
+    outcome = granter.send_list(MANDATE)
+    assert outcome.status is GrantStatus.UNKNOWN and outcome.detail
+    assert granter.ends_at == 1000 + GRANT_S
+    assert standin.holds(7, 20, 'k') is is_held
+
+
+def test_grant_that_waited_in_a_frozen_server_is_over(
+    connect: Connect,
+) -> None:
+    """A server that comes back must not own what has moved meanwhile."""
+    keyed = KeyedStandin(RealClock(offset_s=100))
+    connect(keyed)
+    granter = GrantClient(keyed.address, RealClock(), 0.1, 0.2)
+    granter.read_clock()
+    keyed.set_faults({'freeze': True})
+    assert granter.send_list(MANDATE).status is GrantStatus.UNKNOWN
+    assert granter.clock.monotonic() > granter.ends_at
+    keyed.set_faults({'resume': True})
+    eventually(lambda: keyed.grants)
+    assert not keyed.holds(7, 20, 'k')
+
+
+def test_refused_connection_gives_nothing(standin: KeyedStandin) -> None:
+    """A server that is down must not delay the move of its shards."""
+    standin.stop()
+    outcome = client(standin).send_list(MANDATE)
+    assert outcome.status is GrantStatus.NOT_SENT
+    assert outcome.ends_at < 0
+
+
+@pytest.mark.parametrize(
+    ('status', 'body'),
+    [
+        (200, b'{}'),
+        (200, b'{"clock": "NaN"}'),
+        (200, b'\xff'),
+        (409, b'{}'),
+        (503, b'{"clock": 1}'),
+    ],
+)
+def test_malformed_answers_are_unknown(
+    connect: Connect,
+    status: int,
+    body: bytes,
+) -> None:
+    """An exception would end the renewals of all other servers."""
+    server = LoopbackServer(lambda _: Response.from_bytes(body, status))
+    connect(server)
+    granter = client(server)
+    assert granter.read_clock().status is GrantStatus.UNKNOWN
+    granter.server = ServerClock(SERVER_START_S, 1, 0, 1000)
+    outcome = granter.renew(MANDATE)
+    assert outcome.status is GrantStatus.UNKNOWN
+    assert outcome.ends_at == 1000 + GRANT_S
--- /dev/null
+++ b/tests/test_plain.py
@@ -0,0 +1,136 @@
+"""The plain stand-in: cold starts, draining and lagging reports."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from oriolearch.clock import ManualClock
+from oriolearch.standins.plain import ColdStart, PlainStandin
+from oriolearch.standins.upstream import Limits
+from tests.conftest import Client, eventually
+
+Connect = Callable[[Any], Client]
+
+
+def state(http: Client) -> str:
+    return str(http.json('GET', '/health')['state'])
+
+
+@pytest.mark.parametrize(
+    ('cold_start', 'orders', 'wait_s', 'expected'),
+    [
+        (ColdStart(), 0, 0, 'ready'),
+        (ColdStart(requests=3), 2, 99, 'cold'),
+        (ColdStart(requests=3), 3, 0, 'ready'),
+        (ColdStart(duration_s=2), 9, 1, 'cold'),
+        (ColdStart(duration_s=2), 0, 2, 'ready'),
+        (ColdStart(requests=1, duration_s=2), 0, 2, 'cold'),
+        (ColdStart(requests=3, is_announced=False), 0, 0, 'ready'),
+    ],
+)
+@pytest.mark.parametrize('is_again', [False, True])
+def test_cold_start_ends(
+    connect: Connect,
+    cold_start: ColdStart,
+    orders: int,
+    wait_s: float,
+    expected: str,
+    is_again: bool,
+) -> None:
+    """A cold start that never begins or ends tests nothing."""
+    clock = ManualClock()
+    standin = PlainStandin(clock, cold_start=cold_start)
+    http = connect(standin)
+    if is_again:
+        for _ in range(3):
+            http.call('GET', '/f')
+        clock.advance(3)
+        http.call('POST', '/faults', {'cold_again': True})
+    for _ in range(orders):
+        assert http.call('GET', '/f')[0] == 200
+    clock.advance(wait_s)
+    assert state(http) == expected
+    if cold_start.is_announced:
+        assert standin.is_cold() == (expected == 'cold')
+
+
+def test_cold_server_sheds_and_falls_over(connect: Connect) -> None:
+    """More than one order at a time must show, and far more must hurt."""
+    clock = ManualClock()
+    standin = PlainStandin(
+        clock,
+        limits=Limits(service_s=10),
+        cold_start=ColdStart(requests=1, fall_over_at=3, fall_over_s=5),
+    )
+    http = connect(standin)
+    running = http.later('GET', '/f')
+    eventually(lambda: standin.counts['runs'])
+    for _ in range(2):
+        status, headers, _ = http.call('GET', '/f')
+        assert (status, headers['oriolearch-not-run']) == (503, '1')
+        assert headers['oriolearch-reason'] == 'cold'
+        clock.advance(0.1)
+    silent = http.later('GET', '/f')
+    eventually(lambda: standin.counts['fell_over'])
+    assert http.call('GET', '/health', timeout_s=0.05)[0] == 0
+    clock.advance(5)
+    assert silent()[0] == 503
+    assert state(http) == 'cold'
+    clock.advance(10)
+    assert running()[0] == 200
+    assert standin.counts['runs'] == 1
+
+
+def test_spread_refusals_do_not_fall_over(connect: Connect) -> None:
+    """A host that probes now and then must not be taken for a flood."""
+    clock = ManualClock()
+    standin = PlainStandin(
+        clock,
+        limits=Limits(service_s=10),
+        cold_start=ColdStart(requests=1, fall_over_at=2),
+    )
+    http = connect(standin)
+    running = http.later('GET', '/f')
+    eventually(lambda: standin.counts['runs'])
+    for _ in range(3):
+        clock.advance(1.1)
+        assert http.call('GET', '/f')[0] == 503
+    clock.advance(10)
+    assert running()[0] == 200
+
+
+def test_draining(connect: Connect) -> None:
+    """New work to a leaving server must be counted, then refused."""
+    clock = ManualClock()
+    standin = PlainStandin(clock, drain_s=2)
+    http = connect(standin)
+    http.call('POST', '/drain')
+    assert state(http) == 'draining'
+    assert http.call('GET', '/f')[0] == 200
+    clock.advance(2)
+    status, headers, _ = http.call('GET', '/f')
+    assert (status, headers['oriolearch-not-run']) == (503, '1')
+    assert http.json('GET', '/stats')['received_draining'] == 2
+    http.call('POST', '/drain', {'draining': False})
+    assert http.call('GET', '/f')[0] == 200
+    assert state(http) == 'ready'
+
+
+def test_reports_lag(connect: Connect) -> None:
+    """A router that trusts reports must be caught by their lag."""
+    clock = ManualClock()
+    standin = PlainStandin(clock, limits=Limits(1, service_s=10), lag_s=2)
+    http = connect(standin)
+    answers = [http.later('GET', '/f') for _ in range(3)]
+    eventually(lambda: standin.counts['received'] == 3)
+    http.call('POST', '/drain')
+    assert state(http) == 'ready'
+    assert http.json('GET', '/load') == {'running': 0, 'queued': 0}
+    clock.advance(1.9)
+    assert state(http) == 'ready'
+    clock.advance(0.1)
+    assert state(http) == 'draining'
+    assert http.json('GET', '/load') == {'running': 1, 'queued': 2}
+    standin.stop()
+    assert {answer()[0] for answer in answers} == {0}
--- /dev/null
+++ b/tests/test_server.py
@@ -0,0 +1,77 @@
+"""The loopback server under the stand-ins."""
+
+import socket
+import threading
+from collections.abc import Callable
+from typing import Any
+
+from oriolearch.clock import RealClock, wait_on
+from oriolearch.standins.platform import PlatformStandin
+from oriolearch.standins.plain import PlainStandin
+from tests.conftest import Client, eventually
+
+THREADS_PER_STANDIN = 4
+
+
+def test_idle_standins_are_small_and_leave_nothing() -> None:
+    """Threads left behind would add up over a test run."""
+    before = threading.active_count()
+    standins = [PlainStandin() for _ in range(30)]
+    for standin in standins:
+        standin.start()
+    assert threading.active_count() <= before + 30 * THREADS_PER_STANDIN
+    for standin in standins:
+        standin.stop()
+    assert threading.active_count() == before
+
+
+def test_restart_keeps_the_port(connect: Callable[[Any], Client]) -> None:
+    """A server that comes back must be found at its address."""
+    platform = PlatformStandin()
+    http = connect(platform)
+    http.call('PUT', '/objects/x', b'1')
+    address = platform.address
+    platform.stop()
+    assert http.call('GET', '/objects/x')[0] == 0
+    platform.start()
+    assert platform.address == address
+    assert http.call('GET', '/objects/x')[2] == b'1'
+
+
+def test_control_calls_pass_a_frozen_crowd(
+    connect: Callable[[Any], Client],
+) -> None:
+    """A freeze that holds all threads could never be ended."""
+    standin = PlainStandin()
+    http = connect(standin)
+    http.call('POST', '/faults', {'freeze': True})
+    answers = [http.later('GET', '/f') for _ in range(30)]
+    eventually(lambda: standin.counts['held'] == 30)
+    assert http.call('POST', '/faults', {'resume': True})[0] == 200
+    assert {answer()[0] for answer in answers} == {200}
+    assert standin.counts['runs'] == 30
+
+
+def test_broken_upload_does_not_run(
+    connect: Callable[[Any], Client],
+) -> None:
+    """Half of an upload must not count as a request that ran."""
+    standin = PlainStandin()
+    http = connect(standin)
+    host, port = http.address.split(':')
+    with socket.create_connection((host, int(port))) as sock:
+        sock.sendall(b'PUT /f HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf')
+        sock.shutdown(socket.SHUT_WR)
+        assert not sock.recv(1)
+    assert not standin.counts['runs']
+
+
+def test_real_clock_with_another_rate() -> None:
+    """A server whose clock runs fast must wait less, not more."""
+    clock = RealClock(rate=1000, offset_s=5)
+    until = clock.monotonic() + 60
+    condition = threading.Condition()
+    with condition:
+        while clock.monotonic() < until:
+            wait_on(clock, condition, until)
+    assert clock.monotonic() - until < 60 * 1000
