Test what trial faults in the stand-ins left unnoticed

Two changed waits in a freeze still go unnoticed, since they matter only when a freeze begins between two steps of one request.

--- a/src/oriolearch/standins/upstream.py
+++ b/src/oriolearch/standins/upstream.py
@@ -459,7 +459,7 @@
         now = self.clock.monotonic()
         slow_s = self.faults.slow_s(request.path, False, now)
         until = now + self.service_s(request) + slow_s
-        while self.frozen_until() or self.clock.monotonic() < until:
+        while self.frozen_until() is not None or self.clock.monotonic() < until:
             self._await_thaw()
             self._check_alive(order)
             self.wait(order.condition, min(until, order.deadline))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -90,3 +90,8 @@
     while not is_true():
         assert time.monotonic() < until, 'condition did not come true'
         time.sleep(POLL_S)
+
+
+def advance(owner: Any, duration_s: float) -> None:
+    """Let time pass on the manual clock of a stand-in or client."""
+    owner.clock.advance(duration_s)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -61,17 +61,18 @@
 
 
 @both
+@pytest.mark.parametrize(
+    'fault',
+    ['reset_before', 'reset_after_run', 'cut_answer'],
+)
 def test_faults_of_the_protocol_need_a_path(
     connect: Connect,
     make: Make,
+    fault: str,
 ) -> None:
     """A lost cancellation must be testable apart from lost orders."""
     http = connect(make(ManualClock()))
-    http.call(
-        'POST',
-        '/faults',
-        {'reset_after_run': {'path': '/cancel', 'count': 1}},
-    )
+    http.call('POST', '/faults', {fault: {'path': '/cancel', 'count': 1}})
     assert http.call('GET', '/k')[0] == 200
     statuses = [http.call('POST', '/cancel/a1')[0] for _ in range(2)]
     assert statuses == [0, 200]
--- a/tests/test_grant_client.py
+++ b/tests/test_grant_client.py
@@ -11,7 +11,7 @@
 from oriolearch.core.model import FIXED_MARGIN_S, RATE_MARGIN, Mobility
 from oriolearch.standins.keyed import KeyedStandin
 from oriolearch.standins.server import LoopbackServer, Response
-from tests.conftest import TIMEOUT_S, Client, eventually
+from tests.conftest import TIMEOUT_S, Client, advance, eventually
 
 Connect = Callable[[Any], Client]
 
@@ -66,16 +66,6 @@
     assert held_s >= GRANT_S * rate - lost_s * rate - 2 * FIXED_MARGIN_S
 
 
-def advance_both(
-    standin: KeyedStandin,
-    granter: GrantClient,
-    duration_s: float,
-) -> None:
-    for clock in (standin.clock, granter.clock):
-        assert isinstance(clock, ManualClock)
-        clock.advance(duration_s)
-
-
 def test_list_renewal_and_revocation(standin: KeyedStandin) -> None:
     """A renewal that does not extend would end grants for no reason."""
     granter = client(standin)
@@ -83,12 +73,15 @@
     assert first.status is GrantStatus.CONFIRMED
     assert first.ends_at == granter.ends_at == 1000 + GRANT_S
     assert standin.holds(7, 20, 'k') and standin.holds(8, 25, 'hot')
-    advance_both(standin, granter, 0.5)
+    advance(standin, 0.5)
+    advance(granter, 0.5)
     assert granter.renew(MANDATE).status is GrantStatus.CONFIRMED
     assert granter.ends_at == 1000.5 + GRANT_S
-    advance_both(standin, granter, 0.65)
+    advance(standin, 0.65)
+    advance(granter, 0.65)
     assert standin.holds(7, 20, 'k')
-    advance_both(standin, granter, 0.05)
+    advance(standin, 0.05)
+    advance(granter, 0.05)
     assert not standin.holds(7, 20, 'k')
     granter.renew(MANDATE)
     assert granter.revoke(MANDATE, [7]).status is GrantStatus.CONFIRMED
@@ -97,6 +90,27 @@
     assert read.server is not None and read.server.epoch_floor == 25
 
 
+@pytest.mark.parametrize(('second', 'kept'), [(5000.1, 5000), (5000.6, 5000.6)])
+def test_late_reading_is_not_kept(
+    connect: Connect,
+    second: float,
+    kept: float,
+) -> None:
+    """A reading that took long to arrive would shorten the next grants."""
+    clocks = iter([5000, second])
+    server = LoopbackServer(
+        lambda _: Response.from_json(
+            {'clock': next(clocks), 'incarnation': 1, 'epoch_floor': 0},
+        ),
+    )
+    connect(server)
+    granter = client(server)
+    granter.read_clock()
+    advance(granter, 0.5)
+    granter.read_clock()
+    assert granter.server is not None and granter.server.clock == kept
+
+
 @pytest.mark.parametrize(
     ('held', 'given', 'kind'),
     [
--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -9,7 +9,7 @@
 from oriolearch.core.model import Fencing, KeySource
 from oriolearch.standins.keyed import KeyedStandin
 from oriolearch.standins.upstream import Limits
-from tests.conftest import Client, eventually
+from tests.conftest import Client, advance, eventually
 
 Connect = Callable[[Any], Client]
 
@@ -58,8 +58,7 @@
     assert http.call('POST', '/grants', HELD)[0] == 200
     expected = 200 if fencing is Fencing.NONE else 421
     assert http.call('GET', '/o/without-headers')[0] == expected
-    assert isinstance(standin.clock, ManualClock)
-    standin.clock.advance(after_s)
+    advance(standin, after_s)
     seen, headers, _ = http.call(
         'POST',
         f'/o/{key}',
@@ -134,8 +133,7 @@
     assert http.call('POST', '/grants/revoke', revoke, 0.05)[0] == 0
     confirmation = http.later('POST', '/grants/revoke', revoke)
     assert http.call('POST', '/o/k', shard=7, epoch=20)[0] == 421
-    assert isinstance(standin.clock, ManualClock)
-    standin.clock.advance(1)
+    advance(standin, 1)
     assert order()[0] == confirmation()[0] == 200
 
 
@@ -143,7 +141,7 @@
     ('late', 'key', 'shard', 'epoch'),
     [
         (HELD, 'k', 7, 20),
-        ({**HELD, 'version': 9}, 'k', 7, 20),
+        ({**HELD, 'version': 9, 'keys': []}, 'k', 7, 20),
         ({**HELD, 'shards': None}, 'k', 7, 20),
         ({**HELD, 'version': 9, 'shards': []}, 'hot', 8, 25),
         # The shard stays here, but a split key left it.
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -60,8 +60,8 @@
     clock = ManualClock()
     standin = PlainStandin(
         clock,
-        limits=Limits(service_s=20),
-        cold_start=ColdStart(requests=1, fall_over_at=3, fall_over_s=5),
+        limits=Limits(service_s=4),
+        cold_start=ColdStart(1, 0, 3, 5, service_factor=5),
     )
     http = connect(standin)
     running = http.later('GET', '/f')
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,7 +12,7 @@
 from oriolearch.ports import Condition, Write
 from oriolearch.standins.platform import FaultsBody, PlatformStandin
 from oriolearch.standins.server import LoopbackServer, Response
-from tests.conftest import TIMEOUT_S, Client, eventually
+from tests.conftest import TIMEOUT_S, Client, advance, eventually
 
 Connect = Callable[[Any], Client]
 
@@ -26,11 +26,6 @@
     return platform
 
 
-def advance(standin: PlatformStandin, duration_s: float) -> None:
-    assert isinstance(standin.clock, ManualClock)
-    standin.clock.advance(duration_s)
-
-
 def client(
     standin: PlatformStandin | LoopbackServer,
     zone: str = 'a',
