--- /dev/null
+++ b/src/oriolearch/schema.py
@@ -0,0 +1,261 @@
+"""Checked models of configuration as operators and the platform write it."""
+
+import json
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Annotated, Any, TypeVar
+
+import pydantic
+from pydantic import Field
+
+from oriolearch.core import configuration, model
+from oriolearch.core.errors import ValidationError
+
+ModelT = TypeVar('ModelT', bound=pydantic.BaseModel)
+Name = Annotated[str, Field(pattern='^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$')]
+Address = Annotated[str, Field(pattern=r'^[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$')]
+Share = Annotated[float, Field(ge=0, le=1)]
+PositiveSeconds = Annotated[float, Field(gt=0, le=86400)]
+
+
+class Strict(pydantic.BaseModel):
+    """Refuses unknown fields and conversions between types."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+class UpstreamModel(Strict):
+    """An upstream as operators write it."""
+
+    name: Name
+    address: Address
+    zone: Name
+    slots: Annotated[int, Field(ge=1, le=1024)] = 2
+    connections: Annotated[int, Field(ge=1, le=65535)] = 110
+    weight: Annotated[float, Field(gt=0, le=1000)] = 1.0
+
+
+class PoolModel(Strict):
+    """A row of the table of pools."""
+
+    kind: model.PoolKind
+    upstreams: tuple[UpstreamModel, ...]
+    shard_count: Annotated[int, Field(ge=256, le=4194304)] = 1024
+    fencing: model.Fencing = model.Fencing.CHECKED
+    mobility: model.Mobility = model.Mobility.MOVABLE
+    order_limit_s: PositiveSeconds = 1.0
+    timeout_s: PositiveSeconds = 10.0
+    hedge_share: Share = 0.05
+    retry_share: Share = 0.1
+    queue_limit: Annotated[int, Field(ge=0, le=100000)] = 256
+
+    def to_pool(self, name: str) -> model.Pool:
+        """Convert to the value that decisions use."""
+        fields = {key: getattr(self, key) for key in type(self).model_fields}
+        fields['upstreams'] = tuple(
+            model.Upstream(**dict(upstream)) for upstream in self.upstreams
+        )
+        return model.Pool(name=name, **fields)
+
+
+class KeyModel(Strict):
+    """Where a route finds its key; exactly one field is given."""
+
+    path_segment: Annotated[int, Field(ge=0, le=64)] | None = None
+    header: Annotated[str, Field(pattern='^[A-Za-z0-9-]{1,64}$')] | None = None
+
+    @pydantic.model_validator(mode='after')
+    def check_one(self) -> 'KeyModel':
+        """Refuse none or both."""
+        if (self.path_segment is None) == (self.header is None):
+            raise ValueError('give either path_segment or header')
+        return self
+
+
+class RouteModel(Strict):
+    """A row of the table of routes."""
+
+    prefix: Annotated[str, Field(pattern='^/[^?# ]*$', max_length=1024)]
+    pool: Name
+    hosts: tuple[str, ...] = ()
+    methods: tuple[Annotated[str, Field(pattern='^[A-Z]{1,16}$')], ...] = ()
+    key: KeyModel | None = None
+    request_class: model.RequestClass = model.RequestClass.INTERACTIVE
+    idempotent_methods: tuple[str, ...] = ('GET', 'HEAD', 'OPTIONS')
+    timeout_s: PositiveSeconds | None = None
+
+    def to_route(self, name: str) -> model.Route:
+        """Convert to the value that decisions use."""
+        fields = {key: getattr(self, key) for key in type(self).model_fields}
+        if self.key is not None:
+            fields['key'] = model.KeySource(**dict(self.key))
+        return model.Route(name=name, **fields)
+
+
+class DocumentModel(Strict):
+    """Both tables and the service marks."""
+
+    version: Annotated[int, Field(ge=0)] = 0
+    routes: dict[Name, RouteModel] = Field(default_factory=dict)
+    pools: dict[Name, PoolModel] = Field(default_factory=dict)
+    zones_out: tuple[Name, ...] = ()
+    hosts_out: tuple[Name, ...] = ()
+
+    def to_document(self) -> model.Document:
+        """Convert to the value that decisions use."""
+        return model.Document(
+            version=self.version,
+            routes=MappingProxyType(
+                {name: row.to_route(name) for name, row in self.routes.items()},
+            ),
+            pools=MappingProxyType(
+                {name: row.to_pool(name) for name, row in self.pools.items()},
+            ),
+            zones_out=frozenset(self.zones_out),
+            hosts_out=frozenset(self.hosts_out),
+        )
+
+
+class OperationModel(Strict):
+    """One operation of an edit."""
+
+    kind: configuration.Kind
+    name: Name
+    route: RouteModel | None = None
+    pool: PoolModel | None = None
+
+    def to_operation(self) -> configuration.Operation:
+        """Convert to the value that decisions use."""
+        entry: model.Route | model.Pool | None = None
+        if self.route is not None:
+            entry = self.route.to_route(self.name)
+        elif self.pool is not None:
+            entry = self.pool.to_pool(self.name)
+        return configuration.Operation(self.kind, self.name, entry)
+
+
+class EditModel(Strict):
+    """An edit as it reaches the administration API."""
+
+    version: Annotated[int, Field(ge=0)]
+    operations: Annotated[
+        tuple[OperationModel, ...], Field(min_length=1, max_length=1000)
+    ]
+    dry_run: bool = False
+
+
+class ChangeModel(Strict):
+    """An accepted edit as the table keeps it."""
+
+    version: int
+    author: str
+    time_s: float
+    nonce: str
+    operations: tuple[OperationModel, ...]
+
+    def to_change(self) -> configuration.Change:
+        """Convert to the value that decisions use."""
+        return configuration.Change(
+            self.version,
+            self.author,
+            self.time_s,
+            self.nonce,
+            tuple(operation.to_operation() for operation in self.operations),
+        )
+
+
+def parse(kind: type[ModelT], source: str, raw: object) -> ModelT:
+    """Check a value against a model.
+
+    :raises ValidationError: for the first field that is not acceptable.
+    """
+    try:
+        return kind.model_validate(raw)
+    except pydantic.ValidationError as error:
+        first = error.errors()[0]
+        field = '.'.join(str(part) for part in first['loc']) or '(whole)'
+        raise ValidationError(
+            source,
+            field,
+            first['input'],
+            first['msg'],
+        ) from error
+
+
+def _plain(entry: object) -> Any:
+    """Turn a data class into the JSON fields that differ from defaults."""
+    if isinstance(entry, tuple):
+        return [_plain(part) for part in entry]
+    if not hasattr(entry, '__dataclass_fields__'):
+        return entry
+    return {
+        name: _plain(getattr(entry, name))
+        for name, spec in entry.__dataclass_fields__.items()
+        if getattr(entry, name) != spec.default
+    }
+
+
+def _entry_json(entry: model.Route | model.Pool) -> dict[str, Any]:
+    fields: dict[str, Any] = _plain(entry)
+    fields.pop('name')
+    return fields
+
+
+def document_json(document: model.Document) -> dict[str, Any]:
+    """Give the JSON object of a document, which :class:`DocumentModel` reads."""
+    return {
+        'version': document.version,
+        'routes': {
+            name: _entry_json(route) for name, route in document.routes.items()
+        },
+        'pools': {
+            name: _entry_json(pool) for name, pool in document.pools.items()
+        },
+        'zones_out': sorted(document.zones_out),
+        'hosts_out': sorted(document.hosts_out),
+    }
+
+
+def change_json(change: configuration.Change) -> dict[str, Any]:
+    """Give the JSON object of a change, which :class:`ChangeModel` reads."""
+    return {
+        'version': change.version,
+        'author': change.author,
+        'time_s': change.time_s,
+        'nonce': change.nonce,
+        'operations': [operation_json(part) for part in change.operations],
+    }
+
+
+def operation_json(operation: configuration.Operation) -> dict[str, Any]:
+    """Give the JSON object of an operation."""
+    fields: dict[str, Any] = {
+        'kind': operation.kind.value,
+        'name': operation.name,
+    }
+    if isinstance(operation.entry, model.Route):
+        fields['route'] = _entry_json(operation.entry)
+    elif isinstance(operation.entry, model.Pool):
+        fields['pool'] = _entry_json(operation.entry)
+    return fields
+
+
+def read_document(
+    source: str, raw: str | bytes | Mapping[str, Any]
+) -> model.Document:
+    """Read a document from JSON text or an object already parsed.
+
+    :raises ValidationError: names the field and value at fault.
+    """
+    if isinstance(raw, Mapping):
+        return parse(DocumentModel, source, raw).to_document()
+    try:
+        fields = json.loads(raw)
+    except ValueError as error:
+        raise ValidationError(
+            source,
+            '(whole)',
+            raw[:80],
+            str(error),
+        ) from error
+    return parse(DocumentModel, source, fields).to_document()
--- a/src/oriolearch/settings.py
+++ b/src/oriolearch/settings.py
@@ -1,1 +1,144 @@
 """Settings of a host: JSON with comments, checked by models."""
+
+from pathlib import Path
+from typing import Annotated, Any
+
+import json5
+from pydantic import Field, model_validator
+
+from oriolearch.core.errors import ValidationError
+from oriolearch.schema import Address, Name, Strict, parse
+
+Seconds = Annotated[float, Field(gt=0, le=86400)]
+Threads = Annotated[int, Field(ge=1, le=1024)]
+
+
+class HostSettings(Strict):
+    """Who this host is."""
+
+    name: Name
+    zone: Name
+
+
+class EntrySettings(Strict):
+    """The address for callers and its bounds.
+
+    ``stop_limit_s`` bounds a graceful shutdown, uploads included.
+    """
+
+    address: Address
+    threads: Threads = 64
+    upload_threads: Threads = 16
+    stop_limit_s: Seconds = 300.0
+
+
+class PeerSettings(Strict):
+    """The address for other hosts, and hosts to ask first when starting."""
+
+    address: Address
+    seeds: tuple[Address, ...] = ()
+
+
+class TlsSettings(Strict):
+    """PEM files of the administration API; clients need a certificate when
+    ``client_ca`` is given."""
+
+    certificate: Path
+    key: Path
+    client_ca: Path | None = None
+
+
+class TokenSettings(Strict):
+    """A bearer token, kept as the SHA-256 of its text in hexadecimal."""
+
+    name: Name
+    sha256: Annotated[str, Field(pattern='^[0-9a-f]{64}$')]
+
+
+class AdminSettings(Strict):
+    """The administration API; without TLS it listens on loopback only."""
+
+    address: Address
+    tokens: Annotated[tuple[TokenSettings, ...], Field(min_length=1)]
+    tls: TlsSettings | None = None
+
+    @model_validator(mode='after')
+    def check_tls(self) -> 'AdminSettings':
+        """Refuse an API in the clear that other machines can reach."""
+        if self.tls is None and not self.address.startswith('127.'):
+            raise ValueError('tls is needed on an address outside 127.0.0.0/8')
+        return self
+
+
+class PlatformSettings(Strict):
+    """The platform's table service, object store and host list."""
+
+    address: Address
+    timeout_s: Seconds = 1.0
+
+
+class ZoneSettings(Strict):
+    """A zone; ``adopter`` takes over its movable shards when it is lost."""
+
+    name: Name
+    region: Name
+    adopter: Name | None = None
+
+
+class TelemetrySettings(Strict):
+    """Logs and traces; ``trace_ratio`` is the share of requests sampled."""
+
+    level: Annotated[str, Field(pattern='^(DEBUG|INFO|WARNING|ERROR)$')] = (
+        'INFO'
+    )
+    trace_ratio: Annotated[float, Field(ge=0, le=1)] = 0.0
+
+
+class Settings(Strict):
+    """All settings of one host."""
+
+    host: HostSettings
+    entry: EntrySettings
+    peers: PeerSettings
+    admin: AdminSettings
+    platform: PlatformSettings
+    zones: Annotated[tuple[ZoneSettings, ...], Field(min_length=1)]
+    telemetry: TelemetrySettings = TelemetrySettings()
+
+    @model_validator(mode='after')
+    def check_zones(self) -> 'Settings':
+        """Refuse zones that are named but not listed."""
+        names = {zone.name for zone in self.zones}
+        used = {zone.adopter for zone in self.zones if zone.adopter}
+        unknown = sorted((used | {self.host.zone}) - names)
+        if unknown:
+            raise ValueError(f'zone {unknown[0]!r} is not listed in zones')
+        return self
+
+    def adopters(self) -> dict[str, str | None]:
+        """Give the adopter of each zone."""
+        return {zone.name: zone.adopter for zone in self.zones}
+
+
+def read_json(path: Path) -> Any:
+    """Read a JSON file that may contain comments.
+
+    :raises ValidationError: names the file and the line of a syntax error.
+    """
+    try:
+        return json5.loads(path.read_text('utf-8'), allow_duplicate_keys=False)
+    except (OSError, UnicodeDecodeError, ValueError) as error:
+        raise ValidationError(
+            str(path),
+            '(file)',
+            path.name,
+            str(error).replace('<string>', 'line '),
+        ) from error
+
+
+def read_settings(path: Path) -> Settings:
+    """Read and check a settings file.
+
+    :raises ValidationError: names the file, the field or line, and the value.
+    """
+    return parse(Settings, str(path), read_json(path))
