--- a/src/oriolearch/schema.py
+++ b/src/oriolearch/schema.py
@@ -11,6 +11,7 @@
 from oriolearch.core import configuration, model
 from oriolearch.core.errors import ValidationError
 
+SECRET_FIELD = 'sha256'  # a token put there by mistake is not shown
 ModelT = TypeVar('ModelT', bound=pydantic.BaseModel)
 Name = Annotated[str, Field(pattern='^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$')]
 Address = Annotated[str, Field(pattern=r'^[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$')]
@@ -174,12 +175,13 @@
     except pydantic.ValidationError as error:
         first = error.errors()[0]
         field = '.'.join(str(part) for part in first['loc']) or '(whole)'
+        is_secret = field.endswith(SECRET_FIELD)
         raise ValidationError(
             source,
             field,
-            first['input'],
+            '(hidden)' if is_secret else first['input'],
             first['msg'],
-        ) from error
+        ) from (None if is_secret else error)
 
 
 def _plain(entry: object) -> Any:
--- a/src/oriolearch/settings.py
+++ b/src/oriolearch/settings.py
@@ -127,12 +127,12 @@
     """
     try:
         return json5.loads(path.read_text('utf-8'), allow_duplicate_keys=False)
-    except (OSError, UnicodeDecodeError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ValidationError(
             str(path),
             '(file)',
             path.name,
-            str(error).replace('<string>', 'line '),
+            str(error).replace('<string>:', 'line '),
         ) from error
 
 
