--- a/src/oriolearch/cli.py
+++ b/src/oriolearch/cli.py
@@ -1,1 +1,263 @@
 """The command line."""
+
+import json
+import os
+import sys
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any, NoReturn
+
+import cappa
+
+from oriolearch.adapters.admin_client import AdminClient, Credentials
+from oriolearch.core import configuration
+from oriolearch.core.errors import ConflictError, OriolearchError
+from oriolearch.schema import EditModel, parse, read_document
+from oriolearch.settings import read_json, read_settings
+
+TOKEN_VARIABLE = 'ORIOLEARCH_TOKEN'  # noqa: S105
+USAGE_STATUS = 2  # exit status for faulty input
+
+
+def _fail(error: OriolearchError, status: int = 1) -> NoReturn:
+    print(f'error: {error}', file=sys.stderr)
+    if isinstance(error, ConflictError):
+        for line in error.changes:
+            print(f'  {line}', file=sys.stderr)
+    raise cappa.Exit(code=status)
+
+
+@dataclass(kw_only=True)
+class Api:
+    """Options of every command that calls a host's administration API."""
+
+    url: Annotated[str, cappa.Arg(long='--url', help='address of the API')] = (
+        'https://127.0.0.1:8083'
+    )
+    authority: Annotated[
+        Path | None,
+        cappa.Arg(long='--authority', help='PEM file of its authority'),
+    ] = None
+    certificate: Annotated[
+        Path | None,
+        cappa.Arg(long='--certificate', help='PEM file: certificate and key'),
+    ] = None
+
+    def client(self) -> AdminClient:
+        """Build the client; the token comes from the environment."""
+        token = os.environ.get(TOKEN_VARIABLE, '')
+        credentials = Credentials(token, self.authority, self.certificate)
+        return AdminClient(self.url, credentials)
+
+
+@cappa.command(name='check', help='Check a settings or configuration file')
+@dataclass
+class Check:
+    """Ends with status 2 and names the field when the file is faulty."""
+
+    path: Path
+    tables: Annotated[
+        bool,
+        cappa.Arg(long='--tables', help='the file holds routes and pools'),
+    ] = False
+
+    def __call__(self) -> None:
+        """Run the command."""
+        try:
+            self._check()
+        except OriolearchError as error:
+            _fail(error, USAGE_STATUS)
+        print(f'{self.path}: ok')
+
+    def _check(self) -> None:
+        if not self.tables:
+            read_settings(self.path)
+            return
+        document = read_document(str(self.path), read_json(self.path))
+        for problem in configuration.problems(document):
+            raise problem
+
+
+@cappa.command(name='show', help='Show both tables and the service marks')
+@dataclass
+class Show(Api):
+    """Prints the configuration as JSON."""
+
+    def __call__(self) -> None:
+        """Run the command."""
+        _print_json(self, '/v1/configuration')
+
+
+@cappa.command(name='history', help='Show the latest edits, newest first')
+@dataclass
+class History(Api):
+    """Prints a line for each operation."""
+
+    limit: Annotated[int, cappa.Arg(long='--limit')] = 20
+
+    def __call__(self) -> None:
+        """Run the command."""
+        try:
+            changes = self.client().get(
+                f'/v1/configuration/history?limit={self.limit}',
+            )
+        except OriolearchError as error:
+            _fail(error)
+        for change in changes:
+            for part in change['operations']:
+                print(
+                    change['version'],
+                    f'{change["time_s"]:.0f}',
+                    change['author'],
+                    part['kind'],
+                    part['name'],
+                )
+
+
+@cappa.command(name='status', help='Show hosts, upstreams, shards and leases')
+@dataclass
+class Status(Api):
+    """Prints a table, or JSON."""
+
+    as_json: Annotated[bool, cappa.Arg(long='--json')] = False
+
+    def __call__(self) -> None:
+        """Run the command."""
+        if self.as_json:
+            _print_json(self, '/v1/status')
+            return
+        try:
+            status = self.client().get('/v1/status')
+        except OriolearchError as error:
+            _fail(error)
+        for line in _status_lines(status):
+            print(line)
+
+
+@cappa.command(name='edit', help='Make a conditional edit from a file')
+@dataclass(kw_only=True)
+class Edit(Api):
+    """The file holds ``version`` and ``operations`` as JSON with comments."""
+
+    path: Path
+    dry_run: Annotated[bool, cappa.Arg(long='--dry-run')] = False
+
+    def __call__(self) -> None:
+        """Run the command."""
+        try:
+            fields = read_json(self.path)
+            edit = parse(EditModel, str(self.path), fields)
+        except OriolearchError as error:
+            _fail(error, USAGE_STATUS)
+        dry_run = self.dry_run or edit.dry_run
+        _edit(self, edit.version, fields['operations'], dry_run)
+
+
+@dataclass(kw_only=True)
+class Mark(Api):
+    """Takes a zone or host out of service, or brings it back."""
+
+    name: str
+    back: Annotated[
+        bool,
+        cappa.Arg(long='--back', help='bring it back into service'),
+    ] = False
+    dry_run: Annotated[bool, cappa.Arg(long='--dry-run')] = False
+
+    def mark(self, subject: str) -> None:
+        """Edit the version in force."""
+        kind = f'{subject}-back' if self.back else f'{subject}-out'
+        try:
+            version = self.client().get('/v1/configuration')['version']
+        except OriolearchError as error:
+            _fail(error)
+        _edit(self, version, [{'kind': kind, 'name': self.name}], self.dry_run)
+
+
+@cappa.command(name='zone', help='Take a zone out of service, or back')
+@dataclass(kw_only=True)
+class Zone(Mark):
+    """``oriolearch zone NAME [--back]``."""
+
+    def __call__(self) -> None:
+        """Run the command."""
+        self.mark('zone')
+
+
+@cappa.command(name='host', help='Take a host out of service, or back')
+@dataclass(kw_only=True)
+class Host(Mark):
+    """``oriolearch host NAME [--back]``."""
+
+    def __call__(self) -> None:
+        """Run the command."""
+        self.mark('host')
+
+
+def _edit(
+    api: Api,
+    version: int,
+    operations: list[Mapping[str, Any]],
+    dry_run: bool,
+) -> None:
+    try:
+        accepted = api.client().edit(version, operations, dry_run=dry_run)
+    except OriolearchError as error:
+        _fail(error)
+    verb = 'would make' if dry_run else 'made'
+    print(f'{verb} version {accepted["version"]}')
+    for name, count in accepted['effects'].items():
+        print(f'  {name}: {count}')
+
+
+def _print_json(api: Api, path: str) -> None:
+    try:
+        content = api.client().get(path)
+    except OriolearchError as error:
+        _fail(error)
+    print(json.dumps(content, indent=1))
+
+
+def _status_lines(status: Mapping[str, Any]) -> list[str]:
+    lines = [
+        f'{name}: {field}'
+        for name, field in status.items()
+        if not isinstance(field, list)
+    ]
+    for name, rows in status.items():
+        if isinstance(rows, list) and rows:
+            lines.extend(_table_lines(name, rows))
+    return lines
+
+
+def _table_lines(name: str, rows: list[Mapping[str, Any]]) -> list[str]:
+    columns = list(rows[0])
+    cells = [columns] + [
+        [str(row.get(column, '')) for column in columns] for row in rows
+    ]
+    widths = [
+        max(len(cell) for cell in column) for column in zip(*cells, strict=True)
+    ]
+    lines = [
+        '  '.join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in cells
+    ]
+    return ['', name.upper(), *lines]
+
+
+@cappa.command(name='oriolearch', help='A router for servers that own keys')
+@dataclass
+class Oriolearch:
+    """The root of the commands."""
+
+    command: cappa.Subcommands[
+        Check | Show | History | Status | Edit | Zone | Host
+    ]
+
+
+def main() -> None:
+    """Run the command line."""
+    cappa.invoke(Oriolearch)
