--- a/src/oriolearch/core/policy.py
+++ b/src/oriolearch/core/policy.py
@@ -160,7 +160,7 @@
 
         ``Wait`` says when to ask again, ``None`` that it never will.
         """
-        return None
+        return None if ticket.settled else Wait(ticket.facts.deadline)
 
     def cancelled(self, ticket: Ticket) -> tuple[Attempt, ...]:
         """Give the running attempts that lost: cancel, close, then `failed`.
