--- /dev/null
+++ b/src/oriolearch/adapters/problems.py
@@ -0,0 +1,82 @@
+"""Refusals as RFC 9457 problem details."""
+
+import json
+import math
+from http import HTTPStatus
+
+from oriolearch.core.errors import OriolearchError
+from oriolearch.core.policy import Outcome, Refusal, RefusalReason
+
+OUTCOME_HEADER = 'oriolearch-outcome'
+
+_STATUSES = {
+    RefusalReason.QUEUE_FULL: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.DEADLINE: HTTPStatus.GATEWAY_TIMEOUT,
+    RefusalReason.NO_UPSTREAM: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.ATTEMPTS_FAILED: HTTPStatus.BAD_GATEWAY,
+    RefusalReason.RETRY_BUDGET: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.CALLER_GONE: HTTPStatus.BAD_GATEWAY,
+}
+
+
+class RefusedError(OriolearchError):
+    """The router answers a request itself.
+
+    :param kind: names the problem type, ``urn:oriolearch:problem:<kind>``.
+    :param maybe_run: the request may have run on an upstream.
+    :param retry_after_s: when a new request has a chance.
+    """
+
+    def __init__(
+        self,
+        status: HTTPStatus,
+        kind: str,
+        detail: str,
+        maybe_run: bool = False,
+        *,
+        retry_after_s: float | None = None,
+        fields: list[tuple[str, str]] | None = None,
+    ) -> None:
+        super().__init__(f'{kind}: {detail}')
+        self.status = status
+        self.kind = kind
+        self.detail = detail
+        self.outcome = Outcome.UNKNOWN if maybe_run else Outcome.NOT_RUN
+        self.retry_after_s = retry_after_s
+        self.fields = fields or []
+
+
+def refused_by_policy(refusal: Refusal, maybe_run: bool) -> RefusedError:
+    """Give the error for a refusal of the policy.
+
+    :param maybe_run: an earlier ticket of the request may have run.
+    """
+    return RefusedError(
+        _STATUSES[refusal.reason],
+        str(refusal.reason),
+        'the request got no answer from an upstream',
+        maybe_run or refusal.outcome is Outcome.UNKNOWN,
+        retry_after_s=refusal.retry_after_s,
+    )
+
+
+def problem(refusal: RefusedError) -> tuple[bytes, list[tuple[str, str]]]:
+    """Give the body and the header fields of a refusal."""
+    body = json.dumps(
+        {
+            'type': f'urn:oriolearch:problem:{refusal.kind}',
+            'title': refusal.status.phrase,
+            'status': int(refusal.status),
+            'detail': refusal.detail,
+            'outcome': str(refusal.outcome),
+        },
+    )
+    fields = [
+        ('content-type', 'application/problem+json'),
+        (OUTCOME_HEADER, str(refusal.outcome)),
+        *refusal.fields,
+    ]
+    if refusal.retry_after_s is not None:
+        seconds = max(math.ceil(refusal.retry_after_s), 1)
+        fields.append(('retry-after', str(seconds)))
+    return body.encode(), fields
--- a/src/oriolearch/core/errors.py
+++ b/src/oriolearch/core/errors.py
@@ -101,3 +101,50 @@
     def __init__(self, failed: tuple[tuple[str, str, int], ...]) -> None:
         super().__init__(f'conditions failed: {failed}')
         self.failed = failed
+
+
+class RoutingError(OriolearchError):
+    """A request cannot be joined to a pool; it was not run."""
+
+
+class NoRouteError(RoutingError):
+    """No route answers to a request.
+
+    :param allowed: methods that routes for this host and path answer to;
+        empty when there is no such route.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        method: str,
+        path: str,
+        allowed: tuple[str, ...] = (),
+    ) -> None:
+        super().__init__(f'no route for {method} {path} on host {host!r}')
+        self.host = host
+        self.method = method
+        self.path = path
+        self.allowed = allowed
+
+
+class MissingKeyError(RoutingError):
+    """A request for a keyed pool carries no usable key.
+
+    :param route: name of the matched route.
+    :param where: the place in which the key was looked for.
+    """
+
+    def __init__(self, route: str, where: str) -> None:
+        super().__init__(f'route {route}: no key in {where}')
+        self.route = route
+        self.where = where
+
+
+class BadPathError(RoutingError):
+    """A path can be read in more than one way."""
+
+    def __init__(self, path: str, reason: str) -> None:
+        super().__init__(f'path {path!r}: {reason}')
+        self.path = path
+        self.reason = reason
--- /dev/null
+++ b/src/oriolearch/core/routing.py
@@ -0,0 +1,137 @@
+"""Match a request to a route and extract its key."""
+
+import re
+from collections.abc import Iterator, Mapping
+from urllib.parse import unquote
+
+from oriolearch.core.errors import (
+    BadPathError,
+    MissingKeyError,
+    NoRouteError,
+)
+from oriolearch.core.model import Document, Pool, Route
+
+ENCODED_SLASH = re.compile('%2f', re.IGNORECASE)
+
+
+def plain_path(path: str) -> str:
+    """Decode a path for matching; encoded slashes stay encoded.
+
+    :raises BadPathError: for dot segments, which an upstream may resolve
+        to a path of another route, and for bytes that are not UTF-8.
+    """
+    if '%' in path:
+        parts = ENCODED_SLASH.split(path)
+        try:
+            path = '%2F'.join(unquote(part, errors='strict') for part in parts)
+        except UnicodeDecodeError as error:
+            raise BadPathError(path, 'not UTF-8') from error
+    if '/.' in path and not {'.', '..'}.isdisjoint(path.split('/')):
+        raise BadPathError(path, 'dot segments')
+    return path
+
+
+def host_name(host: str) -> str:
+    """Reduce a ``Host`` header to the name that routes are matched by."""
+    name = host.lower()
+    if name.startswith('['):
+        return name.partition(']')[0].lstrip('[')
+    return name.partition(':')[0].rstrip('.')
+
+
+class _Rule:
+    """A route with its sets for matching."""
+
+    __slots__ = ('hosts', 'methods', 'pool', 'route')
+
+    def __init__(self, route: Route, pool: Pool) -> None:
+        self.route = route
+        self.pool = pool
+        self.hosts = frozenset(host_name(host) for host in route.hosts)
+        self.methods = frozenset(route.methods)
+
+    def rank(self) -> tuple[bool, bool, str]:
+        """Order routes of one prefix: named hosts and methods first."""
+        return (not self.hosts, not self.methods, self.route.name)
+
+
+def _rules_by_prefix(document: Document) -> Mapping[str, tuple[_Rule, ...]]:
+    found: dict[str, list[_Rule]] = {}
+    for route in document.routes.values():
+        pool = document.pools.get(route.pool)
+        if pool is not None:
+            rules = found.setdefault(route.prefix.rstrip('/'), [])
+            rules.append(_Rule(route, pool))
+    return {
+        prefix: tuple(sorted(rules, key=_Rule.rank))
+        for prefix, rules in found.items()
+    }
+
+
+class Router:
+    """The routes of one document, prepared for matching.
+
+    The longest prefix wins that ends at a segment border and whose route
+    answers to the host and the method.
+    """
+
+    def __init__(self, document: Document) -> None:
+        self.document = document
+        self.rules = _rules_by_prefix(document)
+        self.depth = max(
+            (prefix.count('/') for prefix in self.rules),
+            default=0,
+        )
+
+    def match(self, host: str, method: str, path: str) -> tuple[Route, Pool]:
+        """Find the route of a request and its pool.
+
+        :param host: the ``Host`` header.
+        :param path: as given by :func:`plain_path`.
+        :raises NoRouteError: when no route answers.
+        """
+        name = host_name(host)
+        allowed: set[str] = set()
+        for rule in self._candidates(path):
+            if rule.hosts and name not in rule.hosts:
+                continue
+            if not rule.methods or method in rule.methods:
+                return rule.route, rule.pool
+            allowed |= rule.methods
+        raise NoRouteError(host, method, path, tuple(sorted(allowed)))
+
+    def _candidates(self, path: str) -> Iterator[_Rule]:
+        """Give the rules whose prefix fits, longest prefix first."""
+        prefix = '/'.join(path.split('/', self.depth + 1)[: self.depth + 1])
+        while prefix:
+            yield from self.rules.get(prefix, ())
+            prefix = prefix.rpartition('/')[0]
+        yield from self.rules.get('', ())
+
+
+def extract_key(
+    route: Route,
+    path: str,
+    headers: Mapping[str, str],
+) -> str:
+    """Give the key of a request for a keyed pool.
+
+    :param path: as given by :func:`plain_path`.
+    :param headers: by name in lower case.
+    :raises MissingKeyError: when there is none.
+    """
+    source = route.key
+    if source is None:
+        raise MissingKeyError(route.name, 'the route, which names no source')
+    if source.header is not None:
+        key = headers.get(source.header.lower(), '')
+        where = f'header {source.header}'
+    else:
+        where = f'path segment {source.path_segment}'
+        segments = path.split('/')[1:]
+        index = source.path_segment or 0
+        key = segments[index] if index < len(segments) else ''
+        key = ENCODED_SLASH.sub('/', key)
+    if not key:
+        raise MissingKeyError(route.name, where)
+    return key
--- /dev/null
+++ b/tests/upstreams.py
@@ -0,0 +1,125 @@
+"""A small upstream for tests, with a script of what goes wrong."""
+
+import socket
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+Script = Callable[['Call'], None]
+
+
+@dataclass
+class Call:
+    """A request as an upstream received it."""
+
+    sock: socket.socket
+    method: str
+    target: str
+    headers: dict[str, str]
+    stream: Any
+    body: bytes = b''
+
+    def read_body(self) -> None:
+        """Read the whole body."""
+        if self.headers.get('transfer-encoding') == 'chunked':
+            size = int(self.stream.readline(), 16)
+            while size:
+                self.body += self.stream.read(size)
+                self.stream.readline()
+                size = int(self.stream.readline(), 16)
+            self.stream.readline()
+        else:
+            length = int(self.headers.get('content-length', 0))
+            self.body = self.stream.read(length)
+
+    def answer(
+        self,
+        body: bytes = b'',
+        status: int = 200,
+        attempt: str | None = None,
+        **headers: str,
+    ) -> None:
+        """Send an answer that echoes the attempt."""
+        fields = {
+            'oriolearch-attempt': attempt
+            or self.headers.get('oriolearch-attempt', ''),
+            'content-length': str(len(body)),
+        }
+        for name, text in headers.items():
+            fields[name.replace('_', '-')] = text
+        lines = ''.join(f'{name}: {fields[name]}\r\n' for name in fields)
+        head = f'HTTP/1.1 {status} X\r\n{lines}\r\n'
+        self.sock.sendall(head.encode() + body)
+
+
+def echo(call: Call) -> None:
+    """Answer with the body of the request."""
+    call.read_body()
+    call.answer(call.body)
+
+
+class FakeUpstream:
+    """Serves each connection on a thread, by a script for each request.
+
+    :ivar requests: all requests that arrived, cancellations apart.
+    :ivar cancelled: attempts that the router cancelled.
+    """
+
+    def __init__(self, script: Script = echo) -> None:
+        self.script = script
+        self.requests: list[Call] = []
+        self.cancelled: list[str] = []
+        self.connections: list[socket.socket] = []
+        self.listener = socket.create_server(('127.0.0.1', 0))
+        host, port = self.listener.getsockname()
+        self.address = f'{host}:{port}'
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        """Stop to listen and close all connections."""
+        self.listener.close()
+        for sock in self.connections:
+            sock.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                break
+            self.connections.append(sock)
+            threading.Thread(
+                target=self._serve,
+                args=(sock,),
+                daemon=True,
+            ).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        stream = sock.makefile('rb')
+        try:
+            while self._serve_one(sock, stream):
+                continue
+        except (OSError, ValueError):
+            pass
+        finally:
+            stream.close()
+            sock.close()
+
+    def _serve_one(self, sock: socket.socket, stream: Any) -> bool:
+        line = stream.readline().decode()
+        if not line:
+            return False
+        method, target, _ = line.split()
+        headers = {}
+        for field in iter(stream.readline, b'\r\n'):
+            name, _, text = field.decode().partition(':')
+            headers[name.lower()] = text.strip()
+        call = Call(sock, method, target, headers, stream)
+        if target.startswith('/cancel/'):
+            self.cancelled.append(target.removeprefix('/cancel/'))
+            call.answer()
+            return True
+        self.requests.append(call)
+        self.script(call)
+        return sock.fileno() >= 0
