Compare the entry with a bare relay under the same load

bench/datapath.py runs the upstream, a bare relay of cheroot and urllib3 and the entry in processes of their own.

--- /dev/null
+++ b/bench/child.py
@@ -0,0 +1,20 @@
+"""The side of a child process of a benchmark."""
+
+import json
+import resource
+import sys
+import threading
+from collections.abc import Callable
+
+
+def report_usage(port: int, serve: Callable[[], None] | None = None) -> None:
+    """Print the port, then the processor time for each line of input."""
+    if serve is not None:
+        threading.Thread(target=serve, daemon=True).start()
+    sys.stdout.write(f'{port}\n')
+    sys.stdout.flush()
+    for _ in sys.stdin:
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        seconds = usage.ru_utime + usage.ru_stime
+        sys.stdout.write(json.dumps({'seconds': seconds}) + '\n')
+        sys.stdout.flush()
--- /dev/null
+++ b/bench/datapath.py
@@ -0,0 +1,295 @@
+"""Compare the entry with the bare relay under the same load.
+
+Run with ``make bench-datapath``. The upstream, the relay and the entry run
+in processes of their own. Rounds alternate between the relay and the entry,
+so that other work on the machine meets both; the table gives medians.
+"""
+
+import asyncio
+import json
+import random
+import statistics
+import subprocess
+import sys
+import time
+from pathlib import Path
+from types import MappingProxyType
+
+from bench.child import report_usage
+from oriolearch.adapters.entry import Entry, EntrySettings, Published
+from oriolearch.core.messages import AuthorityKey, Segment
+from oriolearch.core.model import (
+    Assignment,
+    Document,
+    KeySource,
+    Mobility,
+    Pool,
+    PoolKind,
+    Route,
+    Upstream,
+)
+from oriolearch.core.view import View
+
+RESULT = Path(__file__).parent / 'results' / 'datapath.json'
+RATE_PER_S = 200
+ROUND_S = 4
+ROUNDS = 5
+CONNECTIONS = 16
+WARM_UP_S = 1
+ANSWER = b'x' * 1024
+POST_BODY = b'y' * 2048
+TARGET_PROCESSOR = 1.3
+TARGET_P99 = 1.5
+
+
+class UpstreamProtocol(asyncio.Protocol):
+    """Answers each request with 1 KiB and echoes the attempt."""
+
+    def __init__(self) -> None:
+        self.buffer = b''
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        if isinstance(transport, asyncio.Transport):
+            self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Answer when a request is complete."""
+        self.buffer += data
+        head, end, body = self.buffer.partition(b'\r\n\r\n')
+        fields = {}
+        for line in head.split(b'\r\n')[1:]:
+            name, _, text = line.partition(b':')
+            fields[name.lower()] = text.strip()
+        if not end or len(body) < int(fields.get(b'content-length', 0)):
+            return
+        self.buffer = b''
+        answer = b''.join(
+            (
+                b'HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n',
+                b'date: Mon, 01 Jan 2024 00:00:00 GMT\r\n',
+                b'oriolearch-attempt: ',
+                fields.get(b'oriolearch-attempt', b''),
+                b'\r\ncontent-length: %d\r\n\r\n' % len(ANSWER),
+                ANSWER,
+            ),
+        )
+        if self.transport is not None:
+            self.transport.write(answer)
+
+
+async def _listen() -> tuple[asyncio.Server, int]:
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(UpstreamProtocol, '127.0.0.1', 0)
+    return server, server.sockets[0].getsockname()[1]
+
+
+def serve_upstream() -> None:
+    """Run the upstream until the standard input ends."""
+    loop = asyncio.new_event_loop()
+    _, port = loop.run_until_complete(_listen())
+    report_usage(port, loop.run_forever)
+
+
+def make_view(address: str) -> View:
+    """Give a view with a plain and a keyed pool of one upstream each."""
+    upstream = Upstream('u', address, 'a', slots=64)
+    pools = {
+        'plain': Pool('plain', PoolKind.PLAIN, (upstream,)),
+        'keyed': Pool('keyed', PoolKind.KEYED, (upstream,), shard_count=256),
+    }
+    routes = {
+        'files': Route('files', '/files', 'plain'),
+        'orders': Route(
+            'orders',
+            '/orders',
+            'keyed',
+            key=KeySource(path_segment=1),
+        ),
+    }
+    home = AuthorityKey('a', Mobility.MOVABLE)
+    shards = (Assignment('u', 1),) * 256
+    segment = Segment('keyed', 0, home, 1, shards)
+    return View(Document(1, routes, pools), {('keyed', 0): segment})
+
+
+def serve_entry(address: str) -> None:
+    """Run the entry until the standard input ends."""
+    entry = Entry(
+        ('127.0.0.1', 0),
+        Published(make_view(address)),
+        EntrySettings('a', 'h'),
+        random.Random(1),
+    )
+    _, port = entry.open()
+    report_usage(port)
+    entry.drain(0, 1)
+
+
+class Child:
+    """A process of the benchmark."""
+
+    def __init__(self, module: str, *arguments: str) -> None:
+        self.process = subprocess.Popen(
+            (sys.executable, '-m', module, *arguments),
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.port = int(self.read_line())
+
+    def read_line(self) -> str:
+        """Read a line that the process prints."""
+        if self.process.stdout is None:
+            raise RuntimeError('the process has no output')
+        return self.process.stdout.readline()
+
+    def seconds(self) -> float:
+        """Give the processor time that the process has used."""
+        if self.process.stdin is None:
+            raise RuntimeError('the process has no input')
+        self.process.stdin.write('\n')
+        self.process.stdin.flush()
+        return float(json.loads(self.read_line())['seconds'])
+
+    def stop(self) -> None:
+        """End the process."""
+        if self.process.stdin is not None:
+            self.process.stdin.close()
+        self.process.wait(20)
+
+
+def _request(number: int) -> bytes:
+    common = 'host: bench\r\naccept: */*\r\nuser-agent: bench\r\n'
+    if number % 5:
+        return f'GET /files/{number} HTTP/1.1\r\n{common}\r\n'.encode()
+    head = (
+        f'POST /orders/{number} HTTP/1.1\r\n{common}'
+        f'content-type: text/plain\r\ncontent-length: {len(POST_BODY)}\r\n\r\n'
+    )
+    return head.encode() + POST_BODY
+
+
+async def _exchange(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    number: int,
+) -> None:
+    writer.write(_request(number))
+    head = await reader.readuntil(b'\r\n\r\n')
+    if not head.startswith(b'HTTP/1.1 200'):
+        raise RuntimeError(f'request {number}: {head!r}')
+    if b'chunked' in head:
+        await reader.readuntil(b'\r\n0\r\n\r\n')
+    else:
+        await reader.readexactly(len(ANSWER))
+
+
+async def _worker(
+    port: int,
+    jobs: asyncio.Queue[tuple[int, float] | None],
+    latencies: list[float],
+) -> None:
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    job = await jobs.get()
+    while job is not None:
+        number, due = job
+        await _exchange(reader, writer, number)
+        latencies.append(time.perf_counter() - due)
+        job = await jobs.get()
+    writer.close()
+
+
+async def _load(port: int, rate: float, duration_s: float) -> list[float]:
+    """Send requests at a fixed rate; latencies count from the due time."""
+    latencies: list[float] = []
+    jobs: asyncio.Queue[tuple[int, float] | None] = asyncio.Queue()
+    workers = [
+        asyncio.create_task(_worker(port, jobs, latencies))
+        for _ in range(CONNECTIONS)
+    ]
+    start = time.perf_counter()
+    for number in range(int(rate * duration_s)):
+        due = start + number / rate
+        await asyncio.sleep(max(due - time.perf_counter(), 0))  # noqa: WPS476
+        jobs.put_nowait((number, due))
+    for _ in workers:
+        jobs.put_nowait(None)
+    await asyncio.gather(*workers)
+    return latencies
+
+
+def _measure(child: Child) -> dict[str, float]:
+    before = child.seconds()
+    latencies = sorted(asyncio.run(_load(child.port, RATE_PER_S, ROUND_S)))
+    used = child.seconds() - before
+    count = len(latencies)
+    return {
+        'processor_us': used / count * 1e6,
+        'p50_ms': latencies[count // 2] * 1000,
+        'p99_ms': latencies[count * 99 // 100] * 1000,
+    }
+
+
+def _summary(
+    rounds: dict[str, list[dict[str, float]]],
+) -> dict[str, dict[str, float]]:
+    found = {
+        name: {
+            figure: statistics.median(part[figure] for part in parts)
+            for figure in parts[0]
+        }
+        for name, parts in rounds.items()
+    }
+    found['ratio'] = {
+        figure: found['entry'][figure] / found['relay'][figure]
+        for figure in found['relay']
+    }
+    return found
+
+
+def run() -> None:
+    """Run the comparison, print the table and write the result."""
+    upstream = Child('bench.datapath', 'upstream')
+    address = f'127.0.0.1:{upstream.port}'
+    children = MappingProxyType(
+        {
+            'relay': Child('bench.relay', address),
+            'entry': Child('bench.datapath', 'entry', address),
+        },
+    )
+    rounds: dict[str, list[dict[str, float]]] = {'relay': [], 'entry': []}
+    for child in children.values():
+        asyncio.run(_load(child.port, RATE_PER_S, WARM_UP_S))
+    for _ in range(ROUNDS):
+        for name, child in children.items():
+            rounds[name].append(_measure(child))
+    for child in (*children.values(), upstream):
+        child.stop()
+    summary = _summary(rounds)
+    print(f'{"":8}{"processor µs":>14}{"p50 ms":>10}{"p99 ms":>10}')
+    for name, row in summary.items():
+        figures = (row['processor_us'], row['p50_ms'], row['p99_ms'])
+        print('{:8}{:14.2f}{:10.2f}{:10.2f}'.format(name, *figures))
+    print(f'targets: processor {TARGET_PROCESSOR}, p99 {TARGET_P99}')
+    load = {'rate_per_s': RATE_PER_S, 'round_s': ROUND_S, 'rounds': ROUNDS}
+    RESULT.parent.mkdir(exist_ok=True)
+    RESULT.write_text(
+        json.dumps({'load': load, 'summary': summary, 'rounds': rounds}) + '\n',
+    )
+
+
+def main() -> None:
+    """Run the benchmark, or one of its processes."""
+    role = sys.argv[1] if len(sys.argv) > 1 else 'run'
+    if role == 'upstream':
+        serve_upstream()
+    elif role == 'entry':
+        serve_entry(sys.argv[2])
+    else:
+        run()
+
+
+if __name__ == '__main__':
+    main()
