Add the peer service: protobuf messages, server and client

Hosts need Sync and Promise between processes. The messages of the core are converted completely in both ways, malformed ones are refused with the path of the field, and StaleError and ValidationError cross the connection as the same types.

The document travels compressed.

--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,11 @@
 
 format: $(STAMP)
 	$(BIN)/ruff format src tests bench
+
+PROTO := src/oriolearch/adapters/peer.proto
+proto: $(STAMP)
+	PATH=$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc -Isrc --python_out=src \
+		--pyi_out=src --grpclib_python_out=src $(PROTO)
+
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity
--- a/src/oriolearch/core/errors.py
+++ b/src/oriolearch/core/errors.py
@@ -80,6 +80,19 @@
         self.changes = changes
 
 
+class PeerError(OriolearchError):
+    """A call to another host gave no answer; it may have been received.
+
+    :param address: ``host:port`` of the other host.
+    :param reason: what went wrong.
+    """
+
+    def __init__(self, address: str, reason: str) -> None:
+        super().__init__(f'peer {address}: {reason}')
+        self.address = address
+        self.reason = reason
+
+
 class PlatformError(OriolearchError):
     """A call to the platform did not succeed."""
 
--- a/src/oriolearch/core/messages.py
+++ b/src/oriolearch/core/messages.py
@@ -92,6 +92,7 @@
     :param version: counts changes of the server's list of grants.
     :param shards: ``(shard, epoch)`` of the whole list.
     :param keys: ``(key, epoch)`` of split keys.
+    :param renewer: the host that it charges; relays pass it on by this.
     """
 
     authority: AuthorityKey
@@ -102,6 +103,7 @@
     duration_s: float
     shards: tuple[tuple[int, int], ...]
     keys: tuple[tuple[str, int], ...] = ()
+    renewer: HostRef | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +114,8 @@
     :param stopped: the renewer sends no further renewals.
     :param ends_in_s: no grant that this renewer gave lasts longer.
     :param failures: renewals in a row without an answer.
+    :param renewer: the host that reports; tells apart an old renewer's
+        statement from the present one's.
     """
 
     authority: AuthorityKey
@@ -122,6 +126,7 @@
     stopped: bool
     ends_in_s: float
     failures: int = 0
+    renewer: HostRef | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,13 +138,32 @@
     rate: float  # requests per second
 
 
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """A host that syncs with a relay.
+
+    :param age_s: time since the relay heard from it.
+    :param leaving: it has begun a planned stop.
+    """
+
+    member: Member
+    age_s: float
+    leaving: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class SyncRequest:
     """What a host tells its parent each sync period.
 
     :param known: revision held for each authority.
-    :param outstanding: own requests running on each ``pool/upstream``.
-    :param held: oldest revision by which orders still run (rule G4).
+    :param outstanding: requests running on each ``pool/upstream``, of the
+        sender and of the hosts below it.
+    :param held: oldest revision by which orders still run (rule G4), at the
+        sender or at any host in ``below``.
+    :param members_digest: digest of the members that the sender knows.
+    :param below: hosts for which this request speaks as well.
+    :param leaving: the sender has begun a planned stop.
+    :param cold: each ``pool/upstream`` found to be cold.
     """
 
     sender: Member
@@ -149,6 +173,10 @@
     outstanding: Mapping[str, int]
     hot_keys: tuple[HotKey, ...] = ()
     reports: tuple[RenewalReport, ...] = ()
+    members_digest: int = 0
+    below: tuple[Heard, ...] = ()
+    leaving: bool = False
+    cold: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,9 +185,13 @@
 
     :param document_version: version of the configuration it holds.
     :param document: the whole configuration as JSON when it is newer.
+    :param permits: one for each authority, with duration 0 where no orders
+        may be sent; the revision covers ``segments``.
     :param segments: segments changed since the revision the child knows.
     :param outstanding: requests of the whole group on each upstream.
+    :param members: all live hosts, empty when the child knows the digest.
     :param cold: the host charged with each cold ``pool/upstream``.
+    :param coordinators: holders, sent together with ``members``.
     """
 
     sender: Member
@@ -171,3 +203,7 @@
     outstanding: Mapping[str, int]
     members: tuple[Member, ...]
     cold: Mapping[str, str]
+    members_digest: int = 0
+    coordinators: Mapping[AuthorityKey, HostRef] = field(
+        default_factory=lambda: MappingProxyType({}),
+    )
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,269 @@
+"""Guards what hosts tell each other, over real loopback sockets."""
+
+import asyncio
+import dataclasses
+import zlib
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from oriolearch.adapters import peer_messages as convert
+from oriolearch.adapters import peer_pb2 as wire
+from oriolearch.adapters.peers import PeerClient, PeerClients, PeerServer
+from oriolearch.core import messages
+from oriolearch.core.errors import (
+    OriolearchError,
+    PeerError,
+    StaleError,
+    ValidationError,
+)
+from oriolearch.core.model import Assignment, HostRef, Member, Mobility
+
+REF = HostRef('h1', 1 << 40)
+MEMBER = Member(REF, 'z1', '127.0.0.1:1')
+HOME = messages.AuthorityKey('z1', Mobility.PINNED)
+OTHER = messages.AuthorityKey('z2', Mobility.MOVABLE)
+REVISION = messages.Revision(3, 7)
+SEGMENT = messages.Segment(
+    'p',
+    4,
+    HOME,
+    9,
+    (Assignment('s1', 2), Assignment(None, 3)),
+    {'Cañón': Assignment('s2', 5), '': Assignment(None, 6)},
+)
+MANDATE = messages.Mandate(
+    HOME, 3, 'p', 's1', 8, 0.5, ((1, 2), (300, 4)), (('k', 5),), REF
+)
+REPORT = messages.RenewalReport(HOME, 3, 'p', 's1', 8, True, 0.4, 2, REF)
+REQUEST = messages.SyncRequest(
+    MEMBER,
+    5,
+    {HOME: REVISION},
+    {OTHER: REVISION},
+    {'p/s1': 3},
+    (messages.HotKey('p', 'k', 2.5),),
+    (REPORT,),
+    (1 << 64) - 1,
+    (messages.Heard(MEMBER, 0.2, True),),
+    True,
+    ('p/s2',),
+)
+ANSWER = messages.SyncAnswer(
+    MEMBER,
+    5,
+    '{"routes": "ñ"}',
+    (messages.Permit(HOME, REVISION, 0.6),),
+    (MANDATE, dataclasses.replace(MANDATE, renewer=None)),
+    (SEGMENT,),
+    {'p/s1': 3},
+    (MEMBER,),
+    {'p/s2': 'h1'},
+    77,
+    {OTHER: REF},
+)
+ASK = messages.PromiseRequest(HOME, REF, 3)
+STATEMENT = messages.PromiseAnswer(HOME, REF, 3, 0.9, True)
+
+
+class Handler:
+    """Answers with a value or an error, and keeps what it was asked."""
+
+    def __init__(self, outcome: object) -> None:
+        self.outcome = outcome
+        self.asked: list[object] = []
+
+    async def sync(self, request: messages.SyncRequest) -> Any:
+        """Answer."""
+        return await self._answer(request)
+
+    async def promise(self, request: messages.PromiseRequest) -> Any:
+        """Answer."""
+        return await self._answer(request)
+
+    async def _answer(self, request: object) -> object:
+        self.asked.append(request)
+        if isinstance(self.outcome, Exception):
+            raise self.outcome
+        if isinstance(self.outcome, asyncio.Event):
+            await self.outcome.wait()
+        return self.outcome
+
+
+def exchange(
+    handler: Handler,
+    act: Callable[[PeerClient], Awaitable[object]],
+    timeout_s: float = 10,
+) -> object:
+    """Run one call against a server on a free port."""
+
+    async def run() -> object:
+        server = PeerServer(handler)
+        await server.start('127.0.0.1', 0)
+        client = PeerClient(f'127.0.0.1:{server.port}', timeout_s)
+        try:
+            return await act(client)
+        finally:
+            client.close()
+            await server.stop()
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize('message', [REQUEST, ANSWER, REPORT, MANDATE])
+def test_samples_set_every_field(message: Any) -> None:
+    """A field added to a message but not to its conversion would be lost."""
+    for each in dataclasses.fields(message):
+        if each.default is not dataclasses.MISSING:
+            assert getattr(message, each.name) != each.default, each.name
+        assert getattr(message, each.name), each.name
+
+
+def test_sync_carries_everything_both_ways() -> None:
+    """A field lost on the way would be a permit or a segment not known."""
+    handler = Handler(ANSWER)
+    assert exchange(handler, lambda peer: peer.sync(REQUEST)) == ANSWER
+    assert handler.asked == [REQUEST]
+
+
+def test_promise_carries_everything_both_ways() -> None:
+    """A renouncement lost on the way would keep a zone from its lease."""
+    handler = Handler(STATEMENT)
+    assert exchange(handler, lambda peer: peer.promise(ASK)) == STATEMENT
+    assert handler.asked == [ASK]
+
+
+@pytest.mark.parametrize(
+    'error',
+    [
+        StaleError('incarnation', 1, 2),
+        ValidationError('peer message', 'sender.zone', "''", 'empty'),
+    ],
+    ids=['stale', 'validation'],
+)
+def test_typed_errors_cross_the_connection(error: OriolearchError) -> None:
+    """A caller that cannot tell why it was refused would ask for ever."""
+    with pytest.raises(type(error)) as caught:
+        exchange(Handler(error), lambda peer: peer.sync(REQUEST))
+    given = {**vars(error), 'value': repr("''")}
+    assert {**given, **vars(caught.value)} == given
+
+
+def test_unknown_failure_of_the_handler_is_a_peer_error() -> None:
+    """A fault of one host must not look like a refusal of the message."""
+    with pytest.raises(PeerError):
+        exchange(Handler(KeyError('x')), lambda peer: peer.sync(REQUEST))
+
+
+def test_call_ends_when_the_peer_does_not_answer() -> None:
+    """A frozen parent would stop its children's syncs."""
+
+    async def act(peer: PeerClient) -> None:
+        with pytest.raises(PeerError, match='no answer'):
+            await peer.sync(REQUEST)
+        assert not peer.calls
+
+    exchange(Handler(asyncio.Event()), act, timeout_s=0.05)
+
+
+def test_refused_connection_is_a_peer_error() -> None:
+    """A lost host must lead to the next candidate, not to a crash."""
+
+    async def run() -> None:
+        server = PeerServer(Handler(ANSWER))
+        await server.start('127.0.0.1', 0)
+        await server.stop()
+        client = PeerClient(f'127.0.0.1:{server.port}', 10)
+        with pytest.raises(PeerError):
+            await client.sync(REQUEST)
+
+    asyncio.run(run())
+
+
+def test_pool_closes_only_unused_connections() -> None:
+    """A pool that never closes would hold a connection to each old parent."""
+    now = [0.0]
+
+    async def run() -> None:
+        pool = PeerClients(lambda: now[0], unused_limit_s=30)
+        kept, idle = pool.get('127.0.0.1:1'), pool.get('127.0.0.1:2')
+        busy = pool.get('127.0.0.1:3')
+        busy.calls = 1
+        now[0] = 31
+        assert pool.get('127.0.0.1:1') is kept
+        pool.close_unused()
+        assert set(pool.clients) == {'127.0.0.1:1', '127.0.0.1:3'}
+        assert pool.get('127.0.0.1:2') is not idle
+        pool.close()
+
+    asyncio.run(run())
+
+
+def _answer(**changes: Any) -> wire.SyncAnswer:
+    part = convert.write_sync_answer(ANSWER)
+    for name, value in changes.items():
+        part.ClearField(name)
+        if isinstance(value, list):
+            getattr(part, name).extend(value)
+        elif isinstance(value, bytes):
+            setattr(part, name, value)
+    return part
+
+
+KEY = wire.AuthorityKey(zone='z1', mobility=wire.PINNED)
+BOMB = zlib.compress(bytes(convert.MAX_DOCUMENT_BYTES + 1))
+
+
+@pytest.mark.parametrize(
+    ('field', 'part'),
+    [
+        ('sender.ref.host', _answer(sender=None)),
+        ('permits[0].authority.zone', _answer(permits=[wire.Permit()])),
+        (
+            'permits[0].authority.mobility',
+            _answer(permits=[wire.Permit(authority={'zone': 'z'})]),
+        ),
+        (
+            'permits[0].duration_s',
+            _answer(permits=[wire.Permit(authority=KEY, duration_s=-1)]),
+        ),
+        (
+            'permits[0].duration_s',
+            _answer(
+                permits=[wire.Permit(authority=KEY, duration_s=float('inf'))],
+            ),
+        ),
+        ('mandates[0].shards', _answer(mandates=[wire.Mandate(shards=[1])])),
+        ('segments[0].shard_owners', _answer(segments=[wire.Segment()])),
+        (
+            'segments[0].owners',
+            _answer(
+                segments=[wire.Segment(shard_owners=[1], shard_epochs=[1])],
+            ),
+        ),
+        (
+            'segments[0].keys',
+            _answer(segments=[wire.Segment(keys=['a'])]),
+        ),
+        ('document_zlib', _answer(document_zlib=b'x')),
+        ('document_zlib', _answer(document_zlib=BOMB)),
+        ('document_zlib', _answer(document_zlib=zlib.compress(b'ab')[:-2])),
+        ('document_zlib', _answer(document_zlib=zlib.compress(b'\xff'))),
+    ],
+)
+def test_malformed_answer_names_its_field(
+    field: str,
+    part: wire.SyncAnswer,
+) -> None:
+    """A value that passes unchecked would fail later inside the core."""
+    with pytest.raises(ValidationError) as caught:
+        convert.read_sync_answer(part)
+    assert caught.value.field == field
+
+
+@pytest.mark.parametrize('address', ['', 'host', ':1', 'h:x'])
+def test_malformed_address_is_refused(address: str) -> None:
+    """A wrong seed in the settings must be named, not time out."""
+    with pytest.raises(ValidationError):
+        PeerClient(address)
