Add membership of a zone and its sync tree

Live hosts follow from syncs heard; the platform's list only marks hosts as leaving and lets lost names be forgotten, since it lags and names no incarnations. An old incarnation is refused.

Leaves are matched to numbered relay positions.

--- a/src/oriolearch/adapters/peer_messages.py
+++ b/src/oriolearch/adapters/peer_messages.py
@@ -264,6 +264,7 @@
         ends_in_s=report.ends_in_s,
         failures=report.failures,
         renewer=_write_optional_ref(report.renewer),
+        mandate_version=report.mandate_version,
     )
 
 
@@ -281,6 +282,7 @@
         ends_in_s=_read_duration(part.ends_in_s, f'{path}.ends_in_s'),
         failures=part.failures,
         renewer=_read_renewer(part, path),
+        mandate_version=part.mandate_version,
     )
 
 
@@ -386,6 +388,7 @@
             )
             for authority, holder in answer.coordinators.items()
         ],
+        age_s=answer.age_s,
     )
 
 
@@ -413,6 +416,7 @@
         cold=dict(part.cold),
         members_digest=part.members_digest,
         coordinators=coordinators,
+        age_s=_read_duration(part.age_s, 'age_s'),
     )
 
 
--- a/src/oriolearch/core/messages.py
+++ b/src/oriolearch/core/messages.py
@@ -116,6 +116,9 @@
     :param failures: renewals in a row without an answer.
     :param renewer: the host that reports; tells apart an old renewer's
         statement from the present one's.
+    :param mandate_version: highest version of the mandate that the renewer
+        has seen. Once stopped it never renews under this or a lower version,
+        so a statement that arrives late cannot end a newer mandate.
     """
 
     authority: AuthorityKey
@@ -127,6 +130,7 @@
     ends_in_s: float
     failures: int = 0
     renewer: HostRef | None = None
+    mandate_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,6 +196,8 @@
     :param members: all live hosts, empty when the child knows the digest.
     :param cold: the host charged with each cold ``pool/upstream``.
     :param coordinators: holders, sent together with ``members``.
+    :param age_s: time since the newest statement of a coordinator that the
+        sender's state rests on.
     """
 
     sender: Member
@@ -207,3 +213,4 @@
     coordinators: Mapping[AuthorityKey, HostRef] = field(
         default_factory=lambda: MappingProxyType({}),
     )
+    age_s: float = 0.0
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,153 @@
+"""Guards who counts as live and what hosts derive from it."""
+
+from collections import Counter
+
+import pytest
+
+from oriolearch.core import membership
+from oriolearch.core.errors import StaleError
+from oriolearch.core.membership import Charges, Membership, SyncTree
+from oriolearch.core.messages import Heard, SyncRequest
+from oriolearch.core.model import HostRef, Member
+
+
+def member(host: str, incarnation: int = 1, zone: str = 'z1') -> Member:
+    return Member(HostRef(host, incarnation), zone, f'{host}:1')
+
+
+def zone_of(count: int) -> tuple[Member, ...]:
+    return tuple(member(f'host-{number:04}') for number in range(count))
+
+
+def names(live: Membership, now: float) -> list[str]:
+    return [f'{m.ref.host}.{m.ref.incarnation}' for m in live.live(now)]
+
+
+@pytest.fixture
+def live() -> Membership:
+    """Hosts a.1 and b.1, heard at second 100."""
+    known = Membership('z1')
+    known.expect([member('a'), member('b')], 100)
+    return known
+
+
+def test_silent_host_is_lost_and_returns(live: Membership) -> None:
+    """A frozen host must lose its roles and may come back as it was."""
+    live.hear(member('a'), 101)
+    assert names(live, 101) == ['a.1']
+    live.hear(member('b'), 101.1)
+    assert names(live, 101.1) == ['a.1', 'b.1']
+
+
+def test_old_incarnation_is_refused_after_replacement(live: Membership) -> None:
+    """A frozen process must not act for the host that replaced it."""
+    live.hear(member('a', 2), 100.1)
+    assert names(live, 100.2) == ['a.2', 'b.1']
+    live.observe_list({'a': 'live'}, 9000)
+    with pytest.raises(StaleError) as caught:
+        live.hear(member('a', 1), 9000)
+    assert (caught.value.given, caught.value.known) == (1, 2)
+    assert set(live.known) == {'a'}
+    live.expect([member('a', 1), member('b')], 9000)
+    assert names(live, 9000) == ['b.1']
+
+
+def test_leaving_host_gets_no_role_but_is_answered(live: Membership) -> None:
+    """A host in a planned stop would be given grants to renew."""
+    live.hear(member('a'), 100.1, leaving=True)
+    live.hear(member('a'), 100.2)
+    assert names(live, 100.2) == ['b.1']
+    assert live.is_live(HostRef('a', 1), 100.2)
+    assert not live.is_live(HostRef('a', 2), 100.2)
+    live.hear(member('a', 2), 100.3)
+    assert names(live, 100.3) == ['a.2', 'b.1']
+
+
+@pytest.mark.parametrize(
+    ('incarnation', 'heard_at', 'expected'),
+    [(1, 100, ['b.1']), (2, 139.9, ['a.2', 'b.1'])],
+    ids=['listed host leaves', 'list speaks of the one before'],
+)
+def test_platform_list_names_leaving_hosts(
+    live: Membership,
+    incarnation: int,
+    heard_at: float,
+    expected: list[str],
+) -> None:
+    """A lagging list must not take a replaced host out of its roles."""
+    live.hear(member('a', incarnation), heard_at)
+    live.expect([member('a', incarnation), member('b')], 140)
+    live.observe_list({'a': 'leaving', 'b': 'live'}, 140)
+    assert names(live, 140) == expected
+
+
+def test_relay_speaks_for_hosts_below_it(live: Membership) -> None:
+    """Leaves unheard by the coordinator would all count as lost."""
+    live.hear(member('b', 2), 100.5)
+    below = (
+        Heard(member('c'), 0.1),
+        Heard(member('d'), 0.1, leaving=True),
+        Heard(member('e'), 0.7),
+        Heard(member('b', 1), 0.1),
+        Heard(member('x', zone='z2'), 0.1),
+    )
+    request = SyncRequest(member('a'), 0, {}, {}, {}, below=below)
+    live.hear_request(request, 101)
+    assert names(live, 101) == ['a.1', 'b.2', 'c.1']
+
+
+@pytest.mark.parametrize('count', [1, 2, 17, 18, 100, 383])
+def test_tree_reaches_every_host(count: int) -> None:
+    """A host without a path to the coordinator would get no permits."""
+    members = zone_of(count)
+    tree = SyncTree(members, 'host-0000')
+    again = SyncTree(tuple(reversed(members)), 'host-0000')
+    children = Counter(tree.parents.values())
+    assert max(children.values(), default=0) <= membership.CHILDREN_LIMIT
+    for one in members[1:]:
+        path = tree.candidates(one.ref.host)
+        assert path == again.candidates(one.ref.host)
+        assert members[0] in path
+        assert one not in path
+    for index, relay in enumerate(tree.relays):
+        later = {tree.by_host[name] for name in tree.relays[index:]}
+        assert later.isdisjoint(tree.candidates(relay))
+
+
+@pytest.mark.parametrize('kind', ['leaf', 'relay', 'join'])
+def test_tree_changes_little_with_one_member(kind: str) -> None:
+    """A tree built anew at each restart would delay syncs of a whole zone."""
+    members = zone_of(381)
+    tree = SyncTree(members, 'host-0000')
+    before = {**tree.parents, **dict.fromkeys(tree.relays)}
+    hosts = tree.relays if kind == 'relay' else sorted(tree.parents)
+    for changed in hosts[:5]:
+        others = [m for m in members if m.ref.host != changed]
+        if kind == 'join':
+            others = [*members, member(f'new-{changed}')]
+        after = SyncTree(tuple(others), 'host-0000').parents
+        moved = sum(before.get(host) != after[host] for host in after)
+        orphans = sum(parent == changed for parent in before.values())
+        # A lost relay also promotes one leaf; the rest are displaced.
+        assert moved <= (orphans + 14 if kind == 'relay' else 4)
+
+
+def test_charges_move_only_with_their_host() -> None:
+    """A renewer that changes needlessly costs a mandate's wait."""
+    members = zone_of(40)
+    servers = [f'p/s{number}' for number in range(300)]
+
+    def renewers(charges: Charges, hosts: tuple[Member, ...]) -> list[object]:
+        charges.update(hosts)
+        return [charges.renewer(server) for server in servers]
+
+    charges = Charges()
+    assert charges.renewer('p/s1') is None
+    before = renewers(charges, members)
+    after = renewers(charges, members[1:])
+    lost = [one == 'host-0000' for one in before]
+    assert [one != two for one, two in zip(before, after)] == lost
+    assert 0 < sum(lost) < 30
+    assert renewers(Charges(), members[1:]) == after
+    assert renewers(charges, members) == before
+    assert set(charges.cold(servers)) == set(servers)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -36,7 +36,7 @@
 MANDATE = messages.Mandate(
     HOME, 3, 'p', 's1', 8, 0.5, ((1, 2), (300, 4)), (('k', 5),), REF
 )
-REPORT = messages.RenewalReport(HOME, 3, 'p', 's1', 8, True, 0.4, 2, REF)
+REPORT = messages.RenewalReport(HOME, 3, 'p', 's1', 8, True, 0.4, 2, REF, 8)
 REQUEST = messages.SyncRequest(
     MEMBER,
     5,
@@ -62,6 +62,7 @@
     {'p/s2': 'h1'},
     77,
     {OTHER: REF},
+    0.3,
 )
 ASK = messages.PromiseRequest(HOME, REF, 3)
 STATEMENT = messages.PromiseAnswer(HOME, REF, 3, 0.9, True)
