--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,146 @@
+"""Guards how many shards move, and where to."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from oriolearch.core import placement
+from oriolearch.core.placement import plan
+
+Owners = dict[int, str | None]
+EVEN = {f's{number:02}': 1.0 for number in range(17)}
+ZONES = {f's{number:02}': 1.0 + number % 3 for number in range(18)}
+BACK = {**EVEN, 's99': 1.0}
+
+
+def settle(
+    shards: Owners,
+    servers: dict[str, float],
+    limit: int = 9999,
+    loads: dict[int, float] | None = None,
+) -> int:
+    """Plan and apply until nothing moves; count moves of owned shards."""
+    moved = 0
+    for _ in range(1000):
+        moves = plan(shards, servers, limit, loads)
+        owned = [move for move in moves if move.source is not None]
+        assert len(owned) <= limit
+        if not moves:
+            return moved
+        moved += len(owned)
+        for move in moves:
+            assert shards[move.shard] == move.source
+            shards[move.shard] = move.target
+    raise AssertionError('moves never end')
+
+
+def least_moves(before: Owners, servers: dict[str, float]) -> int:
+    """Count what any plan with targets within one of the share must move."""
+    counts = Counter(owner for owner in before.values() if owner in servers)
+    total = sum(servers.values())
+    floors = {name: int(len(before) * w / total) for name, w in servers.items()}
+    spare = len(before) - sum(floors.values())
+    excess = [counts[name] - floors[name] for name in servers if servers[name]]
+    over = [one for one in excess if one > 0]
+    kept = {name for name in servers if servers[name]}
+    lost = sum(owner not in kept for owner in before.values())
+    return lost + sum(over) - min(spare, len(over))
+
+
+@pytest.mark.parametrize('limit', [3, 9999], ids=['limited', 'at once'])
+@pytest.mark.parametrize(
+    ('first', 'then'),
+    [
+        (EVEN, BACK),
+        (BACK, EVEN),
+        (ZONES, {n: w for n, w in ZONES.items() if int(n[1:]) % 3}),
+        ({n: w for n, w in ZONES.items() if int(n[1:]) % 3}, ZONES),
+        (ZONES, {**ZONES, 's01': 0.0}),
+        (EVEN, {**EVEN, 's01': 2.5}),
+        (EVEN, {'x': 1.0}),
+    ],
+    ids=['join', 'leave', 'zone out', 'zone back', 'drain', 'weight', 'all'],
+)
+def test_change_moves_the_least(
+    first: dict[str, float],
+    then: dict[str, float],
+    limit: int,
+) -> None:
+    """Each needless move takes a key away from its server for a second."""
+    shards: Owners = dict.fromkeys(range(1024))
+    assert settle(shards, first) == 0
+    least = least_moves(shards, then)
+    assert settle(shards, then, limit) == least
+    counts = Counter(shards.values())
+    total = sum(then.values())
+    for name, weight in then.items():
+        assert abs(counts[name] - 1024 * weight / total) < 1
+
+
+def test_order_of_the_tables_does_not_matter() -> None:
+    """Two coordinators in a row must not undo each other's plans."""
+    rng = random.Random(3)
+    shards: Owners = {
+        number: f's{rng.randrange(20):02}' for number in range(999)
+    }
+    loads = {number: rng.random() for number in shards}
+    mixed = sorted(shards, key=lambda _: rng.random())
+    expected = plan(shards, EVEN, 50, loads)
+    backwards = dict(reversed(EVEN.items()))
+    assert plan({n: shards[n] for n in mixed}, backwards, 50, loads) == expected
+
+
+def test_shards_without_owner_are_placed_despite_the_limit() -> None:
+    """A lost server's keys would wait for the rate of voluntary moves."""
+    shards: Owners = dict.fromkeys(range(0, 100), None)
+    shards.update(dict.fromkeys(range(100, 200), 's01'))
+    moves = plan(shards, EVEN, 0)
+    assert [move.shard for move in moves] == list(range(100))
+    assert all(move.source is None for move in moves)
+    assert plan(shards, {}, 5) == plan(shards, {'s01': 0.0}, 5) == ()
+
+
+def skewed(seed: int) -> dict[int, float]:
+    rng = random.Random(seed)
+    return {shard: rng.paretovariate(1.5) for shard in range(1024)}
+
+
+def heaviest(shards: Owners, loads: dict[int, float]) -> float:
+    totals: Counter[str | None] = Counter()
+    for shard, owner in shards.items():
+        totals[owner] += loads[shard]  # type: ignore[assignment]
+    return max(totals.values()) / (sum(loads.values()) / len(EVEN))
+
+
+def test_load_is_corrected_and_then_left_alone() -> None:
+    """Moves that follow every change of load would never end."""
+    loads = skewed(1)
+    shards: Owners = dict.fromkeys(range(1024))
+    settle(shards, EVEN)
+    assert heaviest(shards, loads) > placement.IMBALANCE_HIGH
+    moved = [settle(shards, EVEN, 10, loads)]
+    assert heaviest(shards, loads) <= placement.IMBALANCE_HIGH
+    rng = random.Random(2)
+    for _ in range(30):
+        noisy = {n: load * rng.uniform(0.85, 1.15) for n, load in loads.items()}
+        moved.append(settle(shards, EVEN, 10, noisy))
+    assert not any(moved[5:])
+
+
+def test_shard_too_hot_to_move_is_left() -> None:
+    """One hot shard would be passed around for ever."""
+    shards: Owners = dict.fromkeys(range(1024))
+    loads = {**dict.fromkeys(shards, 1.0), 7: 1000.0}
+    settle(shards, EVEN)
+    owner = shards[7]
+    settle(shards, EVEN, 10, loads)
+    assert shards[7] == owner
+
+
+def test_hot_key_goes_to_the_least_loaded_server() -> None:
+    """A hot key would overload a small server."""
+    loads = {'a': 4.0, 'b': 3.0, 'c': 0.0}
+    weights = {'a': 4.0, 'b': 1.0, 'c': 0.0}
+    assert placement.least_loaded(weights, loads) == 'a'
+    assert placement.least_loaded({}, loads) is None
