--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,11 @@
 
 bench-datapath: $(STAMP)
 	$(BIN)/python -m bench.datapath
+
+PROTO := src/oriolearch/adapters/peer.proto
+proto: $(STAMP)
+	PATH=$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc -Isrc --python_out=src \
+		--pyi_out=src --grpclib_python_out=src $(PROTO)
+
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity
