--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -16,7 +16,8 @@
 from types import MappingProxyType
 
 from bench.child import report_usage
-from oriolearch.adapters.entry import Entry, EntrySettings, Published
+from oriolearch.adapters.entry import Entry
+from oriolearch.adapters.exchange import EntrySettings, Published
 from oriolearch.core.messages import AuthorityKey, Segment
 from oriolearch.core.model import (
     Assignment,
--- a/src/oriolearch/adapters/callers.py
+++ b/src/oriolearch/adapters/callers.py
@@ -164,7 +164,6 @@
     """One request of a caller, and the answer to it.
 
     :ivar body: the whole body; ``None`` while an upload is to be streamed.
-    :ivar is_aborted: the answer cannot be completed.
     """
 
     __slots__ = (
@@ -173,7 +172,6 @@
         'body',
         'conn',
         'head',
-        'is_aborted',
         'is_body_read',
         'is_chunked_out',
         'is_continued',
@@ -196,7 +194,6 @@
         self.is_body_read = False
         self.is_started = False
         self.is_finished = False
-        self.is_aborted = False
         self.is_chunked_out = False
         self.is_continued = not head.expects_continue
         self._head_out = b''
@@ -464,6 +461,7 @@
         self.keep_alive_conn_limit = limits.connections
         self.connections: set[CallerConnection] = set()
         self.is_draining = False
+        self.report: Callable[[str], None] | None = None
         self.requests = ThreadPool(self, limits.threads, limits.threads)
         self.uploads = ThreadPoolExecutor(limits.upload_threads, 'upload')
         self.upload_places = threading.BoundedSemaphore(
@@ -528,7 +526,9 @@
         level: int = 20,
         traceback: bool = False,
     ) -> None:
-        """Drop cheroot's free-text log; the handler logs its own events."""
+        """Take a message of cheroot."""
+        if self.report is not None:
+            self.report(str(msg))
 
     def _upload(self, conn: CallerConnection) -> None:
         is_kept = False
--- a/src/oriolearch/adapters/upstream.py
+++ b/src/oriolearch/adapters/upstream.py
@@ -16,6 +16,7 @@
 from http.client import HTTPException
 from typing import Any
 
+from opentelemetry.trace import Span
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
@@ -245,6 +246,7 @@
         self.cancelled: Failure | None = None
         self.is_sent = False
         self.is_whole = False
+        self.span: Span | None = None
 
     def send(self, order: Order) -> None:
         """Connect and send the request.
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from oriolearch.adapters.entry import Entry, EntrySettings, Published
+from oriolearch.adapters.entry import Entry
+from oriolearch.adapters.exchange import EntrySettings, Published
 from oriolearch.core.messages import AuthorityKey, Segment
 from oriolearch.core.model import (
     Assignment,
