--- /dev/null
+++ b/tests/test_syncing.py
@@ -0,0 +1,286 @@
+"""Guards what flows through the sync tree."""
+
+import random
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from oriolearch.core.errors import StaleError, ValidationError
+from oriolearch.core.membership import SILENCE_S
+from oriolearch.core.messages import (
+    AuthorityKey,
+    HotKey,
+    Mandate,
+    Permit,
+    RenewalReport,
+    Revision,
+    Segment,
+    SyncAnswer,
+)
+from oriolearch.core.model import (
+    Assignment,
+    Document,
+    HostRef,
+    Member,
+    Mobility,
+)
+from oriolearch.core.syncing import OwnState, SyncKeeper
+
+HOME = AuthorityKey('z1', Mobility.MOVABLE)
+AWAY = AuthorityKey('z2', Mobility.MOVABLE)
+
+
+def member(host: str, zone: str = 'z1') -> Member:
+    return Member(HostRef(host, 2), zone, f'{host}:1')
+
+
+def segment(index: int, version: int) -> Segment:
+    return Segment('p', index, HOME, version, (Assignment(f's{version}', 1),))
+
+
+def mandate(host: str, term: int = 1, version: int = 1) -> Mandate:
+    renewer = HostRef(host, 2)
+    return Mandate(HOME, term, 'p', 's', version, 0.6, ((1, 1),), (), renewer)
+
+
+def says(host: str = 'root', number: int = 1, **more: Any) -> SyncAnswer:
+    permit = Permit(HOME, Revision(more.pop('term', 1), number), 0.7)
+    fields: dict[str, Any] = {
+        'document_version': 0,
+        'document': None,
+        'mandates': (),
+    }
+    fields |= {'segments': (), 'outstanding': {}, 'members': (), 'cold': {}}
+    fields |= {'sender': member(host), 'permits': (permit,)}
+    return SyncAnswer(**(fields | more))
+
+
+def keeper(host: str) -> SyncKeeper:
+    return SyncKeeper(member(host), lambda text: Document(version=int(text)))
+
+
+def sync(
+    child: SyncKeeper,
+    parent: SyncKeeper,
+    now: float,
+    own: OwnState | None = None,
+) -> SyncAnswer:
+    request = child.request(own or OwnState(), now)
+    parent.hear(request, now)
+    answer = parent.answer(request, now)
+    assert child.absorb(answer, now) == ()
+    return answer
+
+
+@pytest.fixture
+def chain() -> list[SyncKeeper]:
+    """A root that holds two segments, a relay and a leaf."""
+    hosts = [keeper('root'), keeper('relay'), keeper('leaf')]
+    both = (segment(0, 5), segment(1, 6))
+    hosts[0].absorb(says(segments=both, document='4', document_version=4), 0)
+    for child, parent in ((2, 1), (1, 0), (2, 1)):
+        sync(hosts[child], hosts[parent], 0)
+    return hosts
+
+
+def test_times_only_shrink_on_the_way(chain: list[SyncKeeper]) -> None:
+    """A relay that hears nothing must not stretch a permit."""
+    root, relay, leaf = chain
+    ends = [host.view.permit_ends[HOME] for host in chain]
+    assert ends == sorted(ends, reverse=True)
+    assert (ends[0], ends[2]) == pytest.approx((0.683, 0.65), abs=0.001)
+    sync(leaf, relay, 0.4)
+    assert ends[2] <= leaf.view.permit_ends[HOME] < ends[1]
+    assert sync(leaf, relay, 0.8).permits[0].duration_s == 0
+    assert leaf.view.refreshed == 0
+    root.absorb(says(), 0.8)
+    sync(relay, root, 0.8)
+    sync(leaf, relay, 0.9)
+    assert leaf.view.permit_ends[HOME] == pytest.approx(1.46, abs=0.01)
+    assert leaf.view.refreshed == pytest.approx(0.8)
+
+
+def test_permit_does_not_outlive_its_revision(chain: list[SyncKeeper]) -> None:
+    """A late end of an older permit would cover the newer assignments."""
+    short = replace(says(number=2).permits[0], duration_s=0.2)
+    chain[2].absorb(says(permits=(short,)), 0.1)
+    assert chain[2].view.permit_ends[HOME] == pytest.approx(0.288)
+
+
+@pytest.mark.parametrize(
+    ('answer', 'problem'),
+    [
+        (says(term=0, segments=(segment(0, 9),)), 'term: got 0, known 1'),
+        (says(number=0, segments=(segment(0, 9),)), 'revision: got 0, known 1'),
+        (says(segments=(segment(0, 4),)), 'segment: got 4, known 5'),
+        (says(document='3', document_version=3), 'document: got 3, known 4'),
+        (says(document='6', document_version=5), 'must be 5'),
+        (says(permits=(), segments=(segment(0, 9),)), 'no revision'),
+        (says(mandates=(mandate('leaf', 0),)), 'term: got 0, known 1'),
+        (says(mandates=(replace(mandate('a'), renewer=None),)), 'must be set'),
+    ],
+)
+def test_nothing_goes_back(
+    chain: list[SyncKeeper],
+    answer: SyncAnswer,
+    problem: str,
+) -> None:
+    """An outdated parent would revert an accepted change."""
+    leaf = chain[2]
+    before = leaf.view
+    problems = leaf.absorb(answer, 0)
+    assert [problem in str(one) for one in problems] == [True]
+    assert leaf.view.segments == before.segments
+    assert leaf.view.document == before.document
+    assert leaf.revisions == {HOME: Revision(1, 1)}
+    assert leaf.own_mandates(0) == ()
+
+
+def test_children_get_only_what_changed(chain: list[SyncKeeper]) -> None:
+    """All segments with each sync would exceed the allowed bytes."""
+    root, relay, leaf = chain
+    assert sync(leaf, relay, 0).segments == ()
+    root.absorb(says(number=2, segments=(segment(1, 7),)), 0.1)
+    root.absorb(says(term=2, number=0, segments=(segment(0, 5),)), 0.2)
+    assert sync(relay, root, 0.2).segments == (segment(1, 7),)
+    answer = sync(leaf, relay, 0.2)
+    assert (answer.segments, answer.document) == ((segment(1, 7),), None)
+    assert len(sync(keeper('new'), relay, 0.2).segments) == 2
+
+
+def test_mandates_reach_their_renewers_only(chain: list[SyncKeeper]) -> None:
+    """A host without a mandate would renew grants that were withdrawn."""
+    root, relay, leaf = chain
+    given = (mandate('leaf'), mandate('relay'), mandate('other'))
+    root.absorb(says(mandates=given), 0.1)
+    assert len(sync(relay, root, 0.1).mandates) == 2
+    sync(leaf, relay, 0.2)
+    held = leaf.own_mandates(0.2)[0]
+    assert held.mandate.renewer == leaf.own.ref
+    assert held.end == pytest.approx(0.66, abs=0.01)
+    assert leaf.own_mandates(0.7) == ()
+    leaf.absorb(says(mandates=(mandate('leaf', version=0),)), 0.2)
+    assert leaf.own_mandates(0.2) == (held,)
+    leaf.absorb(says(term=2), 0.2)
+    assert leaf.own_mandates(0.2) == ()
+
+
+def report(ends_in_s: float, version: int, stopped: bool) -> RenewalReport:
+    host = HostRef('leaf', 2)
+    return RenewalReport(
+        HOME, 1, 'p', 's', 1, stopped, ends_in_s, 0, host, version
+    )
+
+
+def test_relay_speaks_for_its_group(chain: list[SyncKeeper]) -> None:
+    """What a relay leaves out, the coordinator never hears."""
+    root, relay, leaf = chain
+    moved = Revision(1, 0)
+    hot = (HotKey('p', 'k', 2),)
+    state = OwnState(
+        {'p/a': 1, 'p/b': 2},
+        {HOME: moved},
+        hot,
+        (report(0.5, 2, True),),
+        ('p/c',),
+    )
+    sync(leaf, relay, 1, replace(state, leaving=True))
+    other = keeper('other')
+    sync(other, relay, 1, replace(state, reports=(report(0.1, 1, False),)))
+    sync(leaf, relay, 1.1, replace(state, hot_keys=None, leaving=True))
+    request = relay.request(OwnState({'p/a': 1}, hot_keys=()), 1.2)
+    assert request.outstanding == {'p/a': 3, 'p/b': 4}
+    assert request.hot_keys == (HotKey('p', 'k', 4),)
+    assert request.held == {HOME: moved}
+    assert request.known == {HOME: Revision(1, 1)}
+    assert request.cold == ('p/c',)
+    merged = request.reports[0]
+    assert len(request.reports) == 1
+    assert (merged.mandate_version, merged.stopped) == (2, True)
+    assert merged.ends_in_s == pytest.approx(0.415)  # not less than is left
+    ages = {one.member.ref.host: one.age_s for one in request.below}
+    assert ages == pytest.approx({'leaf': 0.1, 'other': 0.2})
+    assert [one.leaving for one in request.below] == [False, True]
+    assert relay.others_outstanding(1.2) == {'p/a': 2, 'p/b': 4}
+    sync(leaf, relay, 1.2, state)
+    assert leaf.others_outstanding(1.2) == {'p/a': 2, 'p/b': 2}
+    late = relay.request(OwnState(), 1.3 + SILENCE_S)
+    assert (late.below, late.outstanding) == ((), {})
+    assert late.held == {HOME: Revision(1, 1)}
+
+
+def test_members_travel_when_they_change(chain: list[SyncKeeper]) -> None:
+    """2,300 members with each sync would exceed the allowed bytes."""
+    root, relay, _ = chain
+    zone = (member('root'), member('leaf'))
+    holders = {HOME: HostRef('root', 2)}
+    root.absorb(says(members=zone, coordinators=holders), 1)
+    far = member('far', 'z2')
+    wrong = {HOME: HostRef('far', 2)}
+    root.absorb(
+        says(
+            sender=far, members=(zone[1], far), permits=(), coordinators=wrong
+        ),
+        1,
+    )
+    assert {one.ref.host for one in root.view.members} == {
+        'root',
+        'leaf',
+        'far',
+    }
+    assert root.coordinators == holders
+    assert len(sync(relay, root, 1).members) == 3
+    assert relay.coordinators == holders
+    assert sync(relay, root, 1).members == ()
+    brief = root.exchange_request([AWAY], 1)
+    assert brief.below == ()
+    assert len(root.exchange_request([HOME], 1).below) == 1
+
+
+def test_old_incarnation_is_refused(chain: list[SyncKeeper]) -> None:
+    """A frozen parent would hand out what its successor has withdrawn."""
+    old = replace(member('leaf'), ref=HostRef('leaf', 1))
+    request = replace(chain[2].request(OwnState(), 0), sender=old)
+    with pytest.raises(StaleError):
+        chain[1].hear(request, 0)
+    with pytest.raises(StaleError):
+        chain[1].absorb(replace(says(), sender=old), 0)
+
+
+def test_broken_document_does_not_hold_up_permits() -> None:
+    """A host of an older release would lose its permits with the document."""
+
+    def refuse(text: str) -> Document:
+        raise ValidationError('document', 'x', text, 'unknown')
+
+    host = SyncKeeper(member('a'), refuse)
+    assert len(host.absorb(says(document='?', document_version=9), 5)) == 1
+    assert host.view.permit_ends[HOME] == pytest.approx(5.683)
+
+
+def test_random_order_of_syncs_keeps_every_promise() -> None:
+    """Answers that arrive late or by other parents must not revert a host."""
+    rng = random.Random(7)
+    hosts = [keeper(f'h{number}') for number in range(6)]
+    late: list[tuple[SyncKeeper, SyncAnswer, float]] = []
+    for step in range(2000):
+        now = step / 50
+        if step % 5 == 0:
+            fresh = segment(rng.randrange(4), step)
+            hosts[0].absorb(says('h0', step, segments=(fresh,)), now)
+        child, parent = rng.sample(hosts, 2)
+        if child is not hosts[0]:
+            answer = parent.answer(child.request(OwnState(), now), now)
+            late.append((child, answer, now))
+        rng.shuffle(late)
+        while len(late) > 4:
+            target, answer, asked = late.pop()
+            before = target.revisions.get(HOME, Revision(0, 0))
+            target.absorb(answer, asked)
+            assert target.revisions.get(HOME, before) >= before
+        bound = max(hosts[0].view.permit_ends[HOME], now)
+        assert all(one.view.permit_ends.get(HOME, 0) <= bound for one in hosts)
+    for host in hosts[1:]:
+        sync(host, hosts[0], now)
+        assert host.view.segments == hosts[0].view.segments
