--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,8 @@
 
 format: $(STAMP)
 	$(BIN)/ruff format src tests bench
+
+SEED ?= 1
+STEPS ?= 200
+soak: $(STAMP)
+	$(BIN)/python -m oriolearch.soak --seed $(SEED) --steps $(STEPS)
--- /dev/null
+++ b/src/oriolearch/simulation.py
@@ -0,0 +1,279 @@
+"""A simulated world for the decision core: time, network, tables, processes.
+
+All randomness comes from the generator of the current step, so that dropping
+one step of a trace leaves the randomness of the others as it was.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from oriolearch.core.errors import InvariantError
+from oriolearch.core.model import HostRef
+from oriolearch.core.rows import (
+    Commit,
+    Committed,
+    Refused,
+    StoredRow,
+    Unresolved,
+)
+
+RATE_SPREAD = 0.0045  # two clocks differ by less than RATE_MARGIN
+CLIENT_TIMEOUT_S = 0.6
+TICK_S = 0.05
+LATE_S = 6.0
+
+Action = Callable[[], None]
+CommitEvent = Committed | Refused | Unresolved
+
+
+@dataclass(slots=True)
+class Weather:
+    """The faults of network and table that are in force.
+
+    :param cuts: pairs of zones without contact.
+    :param table_cuts: zones without contact to the table.
+    """
+
+    loss: float = 0.0
+    late: float = 0.0
+    double: float = 0.0
+    table_down: float = 0.0  # above 0 the table answers nothing but 503
+    table_slow_s: float = 0.0
+    answer_loss: float = 0.0
+    write_delay: float = 0.0
+    cuts: set[frozenset[str]] = field(default_factory=set)
+    table_cuts: set[str] = field(default_factory=set)
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Tell whether two zones have no contact."""
+        return one != other and frozenset((one, other)) in self.cuts
+
+
+class Simulation:
+    """True time and a queue of actions."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.rng = random.Random(0)
+        self.weather = Weather()
+        self.touched: Process | None = None  # by the current action
+        self._queue: list[tuple[float, int, Action]] = []
+        self._order = itertools.count()
+
+    def after(self, delay: float, action: Action) -> None:
+        """Run an action after a delay in true time."""
+        entry = (self.now + delay, next(self._order), action)
+        heapq.heappush(self._queue, entry)
+
+    def run(self, until: float, check: Action) -> None:
+        """Run all actions up to a time, with a check after each."""
+        while self._queue and self._queue[0][0] <= until:
+            entry = heapq.heappop(self._queue)
+            self.now = entry[0]
+            self.touched = None
+            entry[2]()
+            if self.touched is not None:
+                check()
+        self.now = until
+
+    def delay(self) -> float:
+        """Draw the delay of one message."""
+        if self.rng.random() < self.weather.late:
+            return self.rng.uniform(0.05, LATE_S)
+        return self.rng.uniform(0.0005, 0.005)
+
+    def transmit(self, one: str, other: str, action: Action) -> None:
+        """Carry a message between zones: lost, late, doubled, reordered."""
+        copies = 1 + (self.rng.random() < self.weather.double)
+        for _ in range(copies):
+            if self.weather.is_cut(one, other):
+                continue
+            if self.rng.random() >= self.weather.loss:
+                self.after(self.delay(), action)
+
+
+class TableModel:
+    """The platform's transactional tables, with their invariants."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], StoredRow] = {}
+        self.writes = 0
+
+    def read(self, table: str, key: str) -> StoredRow:
+        """Read one row."""
+        return self.rows.get((table, key), StoredRow(0, None))
+
+    def scan(self, table: str) -> dict[str, StoredRow]:
+        """Read all rows of a table."""
+        return {
+            key: row for (name, key), row in self.rows.items() if name == table
+        }
+
+    def commit(self, commit: Commit) -> tuple[int, ...] | None:
+        """Apply all writes or none; ``None`` when a condition fails."""
+        for condition in commit.conditions:
+            found = self.read(condition.table, condition.key)
+            if found.version != condition.version:
+                return None
+        versions = []
+        for write in commit.writes:
+            old = self.read(write.table, write.key)
+            self._check(old, write.row)
+            self.rows[write.table, write.key] = StoredRow(
+                old.version + 1,
+                write.row,
+            )
+            versions.append(old.version + 1)
+            self.writes += 1
+        return tuple(versions)
+
+    def _check(self, old: StoredRow, new: Any) -> None:
+        if old.row is None or 'term' not in old.row:
+            return
+        if new['term'] < old.row['term']:
+            raise InvariantError('term-grows', f'{old.row} to {new}')
+
+
+class Process:
+    """One process: its clock, pauses and the delivery of its events."""
+
+    def __init__(
+        self,
+        world: Simulation,
+        table: TableModel,
+        ref: HostRef,
+        zone: str,
+    ) -> None:
+        self.world = world
+        self.table = table
+        self.ref = ref
+        self.zone = zone
+        self.is_alive = True
+        self.is_paused = False
+        self.rate = 1 + world.rng.uniform(-RATE_SPREAD, RATE_SPREAD)
+        self.offset = world.rng.uniform(0, 1000)
+        self.waiting: list[Action] = []
+        self.open_commits: set[str] = set()
+
+    def clock(self) -> float:
+        """Read the monotonic clock of this process."""
+        return self.offset + self.rate * self.world.now
+
+    def deliver(self, action: Action) -> None:
+        """Run an action in the process, once it is not paused."""
+        if not self.is_alive:
+            return
+        if self.is_paused:
+            self.waiting.append(action)
+        else:
+            self.world.touched = self
+            action()
+
+    def resume(self) -> None:
+        """Go on as if nothing had happened."""
+        self.is_paused = False
+        waiting = self.waiting
+        self.waiting = []
+        for action in waiting:
+            self.deliver(action)
+
+    def read(
+        self,
+        names: Iterable[tuple[str, str]],
+        done: Callable[[list[StoredRow]], None],
+    ) -> None:
+        """Read rows one after the other; no answer when one read fails."""
+        self._read_next(list(names), [], done)
+
+    def scan(
+        self,
+        table: str,
+        done: Callable[[dict[str, StoredRow]], None],
+    ) -> None:
+        """Read a whole table; no answer when the read fails."""
+
+        def arrive() -> None:
+            if not self.world.weather.table_down:
+                found = self.table.scan(table)
+                self._from_table(lambda: done(found))
+
+        self._to_table(arrive)
+
+    def commit(
+        self,
+        commit: Commit,
+        done: Callable[[CommitEvent], None],
+    ) -> None:
+        """Issue a transaction; each outcome is reported at most once."""
+        self.open_commits.add(commit.nonce)
+        self.world.after(
+            CLIENT_TIMEOUT_S,
+            lambda: self.deliver(
+                lambda: self._close(Unresolved(commit.nonce), done),
+            ),
+        )
+        delay = 0.0
+        if self.world.rng.random() < self.world.weather.write_delay:
+            delay = self.world.rng.uniform(0, LATE_S)
+        self._to_table(lambda: self._apply(commit, done), delay)
+
+    def _apply(
+        self,
+        commit: Commit,
+        done: Callable[[CommitEvent], None],
+    ) -> None:
+        event: CommitEvent = Refused(commit.nonce)
+        if not self.world.weather.table_down:
+            versions = self.table.commit(commit)
+            event = Unresolved(commit.nonce)
+            if versions is not None:
+                event = Committed(commit.nonce, versions)
+        self._from_table(lambda: self._close(event, done))
+
+    def _close(
+        self,
+        event: CommitEvent,
+        done: Callable[[CommitEvent], None],
+    ) -> None:
+        if event.nonce in self.open_commits:
+            self.open_commits.remove(event.nonce)
+            done(event)
+
+    def _read_next(
+        self,
+        names: list[tuple[str, str]],
+        found: list[StoredRow],
+        done: Callable[[list[StoredRow]], None],
+    ) -> None:
+        if not names:
+            done(found)
+            return
+
+        def arrive() -> None:
+            if not self.world.weather.table_down:
+                row = self.table.read(*names[0])
+                self._from_table(
+                    lambda: self._read_next(names[1:], [*found, row], done),
+                )
+
+        self._to_table(arrive)
+
+    def _to_table(self, action: Action, delay: float = 0.0) -> None:
+        weather = self.world.weather
+        if self.zone not in weather.table_cuts:
+            slow = self.world.rng.uniform(0, weather.table_slow_s)
+            self.world.after(delay + slow + self.world.delay() / 2, action)
+
+    def _from_table(self, action: Action) -> None:
+        weather = self.world.weather
+        is_lost = self.world.rng.random() < weather.answer_loss
+        if self.zone not in weather.table_cuts and not is_lost:
+            slow = self.world.rng.uniform(0, weather.table_slow_s)
+            self.world.after(
+                slow + self.world.delay() / 2,
+                lambda: self.deliver(action),
+            )
--- /dev/null
+++ b/src/oriolearch/soak.py
@@ -0,0 +1,308 @@
+"""Randomised driver of the ownership state machines.
+
+``python -m oriolearch.soak --seed 1 --steps 200`` runs one trace and prints
+its hash; the same arguments give the same trace. When an invariant breaks it
+prints the shortest trace that it finds by dropping steps.
+"""
+
+import argparse
+import hashlib
+import random
+import sys
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from types import MappingProxyType
+
+from oriolearch.core.errors import InvariantError
+from oriolearch.core.messages import AuthorityKey
+from oriolearch.core.model import HostRef
+from oriolearch.deliberate import STRATEGIES
+from oriolearch.simulated import Cluster, HostProcess, Strategy
+from oriolearch.simulation import Simulation
+
+ZONES = ('a', 'b', 'c')
+HOSTS_PER_ZONE = 3
+WARM_UP_S = 3.0
+RECOVERY_S = 12.0
+SHRINK_RUNS = 150
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One fault, or the end of one, and the time that passes after it.
+
+    :param seed: randomness of messages and processes during the step.
+    """
+
+    kind: str
+    target: str
+    level: float
+    duration_s: float
+    seed: int
+
+    def __str__(self) -> str:
+        """Give one line of a trace."""
+        seconds = f'{self.duration_s:.3f}'
+        return f'{self.kind} {self.target} {self.level:.2f} then {seconds} s'
+
+
+WEATHER = ('loss', 'late', 'double', 'answer_loss', 'write_delay')
+SWITCHES = MappingProxyType(
+    {
+        'table_down': ('table_down', True),
+        'table_up': ('table_down', False),
+        'table_slow': ('table_slow_s', True),
+    },
+)
+KINDS = (
+    *('pause', 'pause', 'resume', 'resume', 'kill', 'start', 'start', 'stop'),
+    *('cut', 'isolate', 'join', 'join', 'table_cut', 'table_join'),
+    *('table_down', 'table_up', 'table_up', 'table_slow'),
+    *WEATHER,
+    *('calm', 'calm', 'heal', 'quiet', 'quiet'),
+)
+
+
+def generate(seed: int, count: int, kinds: Sequence[str] = KINDS) -> list[Step]:
+    """Draw the steps of a trace."""
+    rng = random.Random(seed)
+    hosts = [f'{zone}{num}' for zone in ZONES for num in range(HOSTS_PER_ZONE)]
+    steps = []
+    for _ in range(count):
+        kind = rng.choice(kinds)
+        target = rng.choice(hosts)
+        if kind in {'cut', 'isolate', 'join', 'table_cut', 'table_join'}:
+            target = '-'.join(rng.sample(ZONES, 2))
+        steps.append(
+            Step(
+                kind,
+                target,
+                rng.random(),
+                rng.choice((0.02, 0.1, 0.3, 0.7, 1.5, 2.5))
+                * rng.uniform(0.5, 1.5),
+                rng.getrandbits(32),
+            ),
+        )
+    return steps
+
+
+class Soak:
+    """One run of a trace with all invariants checked after each event."""
+
+    def __init__(self, strategy: Strategy) -> None:
+        self.world = Simulation()
+        self.cluster = Cluster(self.world, ZONES, HOSTS_PER_ZONE, strategy)
+        self.digest = hashlib.blake2b(digest_size=8)
+        self.terms: dict[AuthorityKey, int] = {}
+        # End of each authority in true time, by the process that has it.
+        self.ends: dict[AuthorityKey, dict[HostRef, float]] = {}
+        self.step_number = 0
+
+    def run(self, steps: Sequence[Step]) -> str:
+        """Run a trace and the recovery after it; give the trace's hash.
+
+        :raises InvariantError: at the first violation.
+        """
+        self.advance(WARM_UP_S)
+        for number, step in enumerate(steps):
+            self.step_number = number
+            self.world.rng = random.Random(step.seed)
+            self.apply(step)
+            self.advance(step.duration_s)
+        self.step_number = len(steps)
+        self.heal()
+        self.advance(RECOVERY_S)
+        self.check_liveness()
+        return self.digest.hexdigest()
+
+    def advance(self, duration_s: float) -> None:
+        """Let true time pass."""
+        self.world.run(self.world.now + duration_s, self.check)
+        state = [
+            (name, host.ref.incarnation, host.is_alive, host.is_paused)
+            for name, host in self.cluster.hosts.items()
+        ]
+        self.digest.update(repr((self.world.now, state)).encode())
+        self.digest.update(repr(self.cluster.table.rows).encode())
+
+    def apply(self, step: Step) -> None:
+        """Start or end a fault."""
+        weather = self.world.weather
+        if step.kind in WEATHER:
+            setattr(weather, step.kind, 0.6 * step.level)
+            return
+        if step.kind in SWITCHES:
+            name, is_on = SWITCHES[step.kind]
+            setattr(weather, name, step.level if is_on else 0)
+            return
+        handlers: dict[str, Callable[[str], None]] = {
+            'pause': self.pause,
+            'resume': lambda name: self.cluster.hosts[name].resume(),
+            'kill': self.cluster.kill,
+            'start': self.cluster.start,
+            'stop': self.stop,
+            'calm': lambda _: self.calm(),
+            'heal': lambda _: self.heal(),
+            'cut': self.cut,
+            'isolate': self.isolate,
+            'join': self.join,
+            'table_cut': lambda zones: weather.table_cuts.add(zones[0]),
+            'table_join': lambda zones: weather.table_cuts.discard(zones[0]),
+        }
+        if step.kind in handlers:
+            handlers[step.kind](step.target)
+
+    def cut(self, zones: str) -> None:
+        """Cut two zones from each other."""
+        self.world.weather.cuts.add(frozenset(zones.split('-')))
+
+    def isolate(self, zones: str) -> None:
+        """Cut one zone from all others."""
+        self.world.weather.cuts.update(
+            frozenset((zones[0], zone)) for zone in ZONES if zone != zones[0]
+        )
+
+    def join(self, zones: str) -> None:
+        """End all cuts of one zone."""
+        cuts = self.world.weather.cuts
+        cuts.difference_update([cut for cut in cuts if zones[0] in cut])
+
+    def pause(self, name: str) -> None:
+        """Suspend a process without its notice."""
+        self.cluster.hosts[name].is_paused = True
+
+    def stop(self, name: str) -> None:
+        """Begin a planned stop."""
+        self.cluster.hosts[name].is_stopping = True
+
+    def calm(self) -> None:
+        """End the faults of messages and of the table's answers."""
+        for name in WEATHER:
+            setattr(self.world.weather, name, 0.0)
+        self.world.weather.table_slow_s = 0.0
+
+    def heal(self) -> None:
+        """End all faults."""
+        self.calm()
+        self.world.weather.table_down = 0.0
+        self.world.weather.cuts.clear()
+        self.world.weather.table_cuts.clear()
+        for name in sorted(self.cluster.hosts):
+            self.cluster.hosts[name].resume()
+            self.cluster.start(name)
+
+    def check(self) -> None:
+        """Assert the invariants of the process that has just acted."""
+        host = self.world.touched
+        if not isinstance(host, HostProcess):
+            return
+        now = host.clock()
+        for key, authority in host.authorities.items():
+            ends = self.ends.setdefault(key, {})
+            end = authority.end()
+            if end <= now:
+                ends.pop(host.ref, None)
+                continue
+            ends[host.ref] = self.world.now + (end - now) / host.rate
+            self._check_single(key)
+            term = authority.holder.term if authority.holder else 0
+            if term < self.terms.get(key, 0):
+                raise InvariantError('term-grows', f'{key} {host.ref}')
+            self.terms[key] = term
+
+    def _check_single(self, key: AuthorityKey) -> None:
+        holders = [
+            ref
+            for ref, end in self.ends[key].items()
+            if end > self.world.now and self.is_running(ref)
+        ]
+        if len(holders) > 1:
+            raise InvariantError('single-coordinator', f'{key}: {holders}')
+
+    def is_running(self, ref: HostRef) -> bool:
+        """Tell whether an incarnation has not ended."""
+        host = self.cluster.hosts[ref.host]
+        return host.ref == ref and host.is_alive
+
+    def check_liveness(self) -> None:
+        """Assert that every authority has a holder after all faults."""
+        held = {
+            key
+            for host in self.cluster.hosts.values()
+            for key, authority in host.authorities.items()
+            if host.is_alive and authority.is_valid(host.clock())
+        }
+        missing = sorted(set(self.cluster.keys()) - held)
+        if missing:
+            raise InvariantError('authority-liveness', repr(missing))
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """An invariant that broke, and the step at which it did."""
+
+    error: InvariantError
+    step: int
+
+
+def attempt(steps: Sequence[Step], strategy: Strategy) -> Failure | str:
+    """Run a trace; give its hash, or the failure."""
+    soak = Soak(strategy)
+    try:
+        return soak.run(steps)
+    except InvariantError as error:
+        return Failure(error, soak.step_number)
+
+
+def shrink(
+    steps: Sequence[Step],
+    failure: Failure,
+    strategy: Strategy,
+    runs: int = SHRINK_RUNS,
+) -> list[Step]:
+    """Drop steps while the same invariant still breaks."""
+    best = list(steps[: failure.step + 1])
+    size = max(len(best) // 2, 1)
+    while runs > 0:
+        start = 0
+        is_shorter = False
+        while start < len(best) and runs > 0:
+            runs -= 1
+            trial = best[:start] + best[start + size :]
+            outcome = attempt(trial, strategy)
+            is_same = (
+                isinstance(outcome, Failure)
+                and outcome.error.invariant == failure.error.invariant
+            )
+            if is_same:
+                best = trial
+                is_shorter = True
+            else:
+                start += size
+        if size == 1 and not is_shorter:
+            break
+        size = max(size // 2, 1)
+    return best
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the command line; 1 when an invariant broke."""
+    parser = argparse.ArgumentParser(prog='oriolearch.soak')
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--steps', type=int, default=200)
+    parser.add_argument('--fault', choices=sorted(STRATEGIES), default='none')
+    options = parser.parse_args(arguments)
+    strategy = STRATEGIES[options.fault]
+    steps = generate(options.seed, options.steps)
+    outcome = attempt(steps, strategy)
+    if isinstance(outcome, str):
+        print(f'seed {options.seed}: {options.steps} steps, trace {outcome}')
+        return 0
+    print(f'seed {options.seed}: step {outcome.step}: {outcome.error}')
+    for step in shrink(steps, outcome, strategy):
+        print(f'  {step}')
+    return 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
