--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,8 @@
 
 capacity: $(STAMP)
 	$(BIN)/python -m bench.capacity
+
+SEED ?= 1
+STEPS ?= 200
+soak: $(STAMP)
+	$(BIN)/python -m oriolearch.soak --seed $(SEED) --steps $(STEPS)
