Echo the attempt in every answer to an order

The data path drops an answer without its attempt id, so that a 400 of a stand-in looked like the answer to another request. Sizes and durations in the query are read before the run, since a 400 after it would have run.

--- a/src/oriolearch/standins/plain.py
+++ b/src/oriolearch/standins/plain.py
@@ -182,9 +182,9 @@
             self.served_cold += 1
             self.note_state()
 
-    def service_s(self, request: Request) -> float:
+    def service_s(self, order: Order) -> float:
         """Give the duration of a run, longer while cold."""
-        duration_s = super().service_s(request)
+        duration_s = super().service_s(order)
         if self.is_cold():
             duration_s *= self.cold_start.service_factor
         return duration_s
--- a/src/oriolearch/standins/upstream.py
+++ b/src/oriolearch/standins/upstream.py
@@ -42,7 +42,6 @@
     DRAINING = 'draining'
     CONNECTIONS = 'connections'
     NOT_OWNER = 'not-owner'
-    INVALID = 'invalid-header'
 
 
 class RefusedError(OriolearchError):
@@ -67,6 +66,8 @@
     """A request on its way through the stand-in.
 
     :param deadline: time of the stand-in's clock.
+    :param size: bytes of the answer, from ``?bytes=``; ``None`` to echo.
+    :param service_s: duration of the run, from ``?service_ms=``, in seconds.
     :param condition: notified when the order's state changes.
     """
 
@@ -75,6 +76,8 @@
     caller_request: str
     body: bytes
     deadline: float
+    size: int | None
+    service_s: float | None
     condition: threading.Condition
     has_slot: bool = False
     is_cancelled: bool = False
@@ -201,12 +204,10 @@
         """Give the number of orders that may run now."""
         return self.limits.slots
 
-    def service_s(self, request: Request) -> float:
-        """Give the duration of a run in seconds; ``?service_ms=`` sets it."""
-        given_ms = request.query.get('service_ms')
-        if given_ms is None:
-            return self.limits.service_s
-        return float(given_ms) / 1000
+    def service_s(self, order: Order) -> float:
+        """Give the duration of a run in seconds."""
+        given_s = order.service_s
+        return self.limits.service_s if given_s is None else given_s
 
     def note_load(self) -> None:
         """Take note that an order began or ended to run or to wait."""
@@ -226,10 +227,12 @@
         try:
             return self._control(request) or self._serve(request)
         except ValueError as invalid:
-            return Response.from_json(
+            response = Response.from_json(
                 {'error': str(invalid)},
                 HTTPStatus.BAD_REQUEST,
             )
+            response.headers.update(_echoed(request))
+            return response
         except _StoppingError:
             return Response.lost()
 
@@ -385,12 +388,16 @@
             self.clock.monotonic() + remaining_ms / 1000,
             _number(request, DEADLINE_CLOCK),
         )
+        size = request.query.get('bytes')
+        service_ms = request.query.get('service_ms')
         return Order(
             request,
             request.headers.get(ATTEMPT, ''),
             request.headers.get(REQUEST, ''),
             body,
             deadline,
+            None if size is None else int(size),
+            None if service_ms is None else float(service_ms) / 1000,
             threading.Condition(self.lock),
         )
 
@@ -458,7 +465,7 @@
         request = order.request
         now = self.clock.monotonic()
         slow_s = self.faults.slow_s(request.path, False, now)
-        until = now + self.service_s(request) + slow_s
+        until = now + self.service_s(order) + slow_s
         while self.frozen_until() is not None or self.clock.monotonic() < until:
             self._await_thaw()
             self._check_alive(order)
@@ -478,7 +485,7 @@
             {'error': refused.reason.value},
             refused.status,
         )
-        response.headers.update(_echoed(order))
+        response.headers.update(_echoed(order.request))
         response.headers[NOT_RUN] = '1'
         response.headers[REASON] = refused.reason.value
         return response
@@ -489,7 +496,7 @@
             HTTPStatus.GATEWAY_TIMEOUT,
         )
         response.headers[REASON] = reason.value
-        response.headers.update(_echoed(order))
+        response.headers.update(_echoed(order.request))
         return response
 
     def _answer(self, order: Order) -> Response:
@@ -497,19 +504,18 @@
         if self._take(FaultKind.RESET_AFTER_RUN, request):
             return Response.lost()
         headers = {
-            **_echoed(order),
+            **_echoed(order.request),
             CLOCK: repr(self.clock.monotonic()),
             'content-type': request.headers.get(
                 'content-type',
                 'application/octet-stream',
             ),
         }
-        size = request.query.get('bytes')
-        if size is None:
+        if order.size is None:
             response = Response.from_bytes(order.body)
         else:
-            chunks = pattern(order.caller_request, int(size))
-            response = Response(chunks=chunks, length=int(size))
+            chunks = pattern(order.caller_request, order.size)
+            response = Response(chunks=chunks, length=order.size)
         response.headers = headers
         if self._take(FaultKind.WRONG_ATTEMPT, request):
             headers[ATTEMPT] = f'{order.attempt}-other'
@@ -537,10 +543,13 @@
     return number
 
 
-def _echoed(order: Order) -> dict[str, str]:
-    """Give the ids of an order as far as it carries them."""
-    ids = {ATTEMPT: order.attempt, REQUEST: order.caller_request}
-    return {name: text for name, text in ids.items() if text}
+def _echoed(request: Request) -> dict[str, str]:
+    """Give the ids of a request as far as it carries them."""
+    return {
+        name: request.headers[name]
+        for name in (ATTEMPT, REQUEST)
+        if name in request.headers
+    }
 
 
 def pattern(caller_request: str, size: int) -> Iterator[bytes]:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -206,6 +206,7 @@
     clock.advance(0.6)
     seen = answer()
     assert (seen[0], seen[1].get('oriolearch-not-run')) == (status, not_run)
+    assert seen[1]['oriolearch-attempt'] == 'a', 'or the router drops it'
     assert standin.counts['runs'] == runs
 
 
@@ -293,4 +294,6 @@
     """A misspelt fault would make a test pass without a fault."""
     http = connect(make(ManualClock()))
     assert http.call('POST', '/faults', body)[0] == 400
+    assert http.call('GET', '/k?bytes=many')[0] == 400
+    assert not http.json('GET', '/ledger')
     assert not http.json('GET', '/faults')
