--- a/src/oriolearch/adapters/grants.py
+++ b/src/oriolearch/adapters/grants.py
@@ -12,6 +12,7 @@
 from pydantic import BaseModel, FiniteFloat, ValidationError
 
 from oriolearch.core.errors import StaleError
+from oriolearch.core.grants import SendGrant, ServerAnswer, ServerRefusal
 from oriolearch.core.messages import AuthorityKey, Mandate
 from oriolearch.core.model import RATE_MARGIN, shortened
 from oriolearch.ports import Clock
@@ -83,6 +84,10 @@
     epoch_floor: int
 
 
+class _AcceptAnswer(_ClockAnswer):
+    settled: bool = True
+
+
 class _StaleAnswer(BaseModel):
     error: str
     given: int
@@ -147,6 +152,45 @@
         )
         return GrantOutcome(GrantStatus.CONFIRMED, server=self.server)
 
+    def probe(self, sent: float) -> ServerAnswer | None:
+        """Read clock and incarnation; ``None`` without an answer.
+
+        :param sent: time of the caller before the call, to be given back.
+        """
+        answer = _parsed(_GrantsAnswer, self._call('GET', '/grants'))
+        if isinstance(answer, GrantOutcome):
+            return None
+        return ServerAnswer(sent, answer.incarnation, answer.clock)
+
+    def send(
+        self,
+        effect: SendGrant,
+        sent: float,
+    ) -> ServerAnswer | ServerRefusal | None:
+        """Send a grant; ``None`` when its outcome is unknown."""
+        shards = effect.shards
+        body = {
+            'authority': _authority(effect.authority),
+            'term': effect.term,
+            'version': effect.version,
+            'incarnation': effect.incarnation,
+            'expires_at': effect.expires_at,
+            'shards': None if shards is None else list(shards),
+            'keys': list(effect.keys),
+        }
+        answer = _parsed(_AcceptAnswer, self._call('POST', '/grants', body))
+        if not isinstance(answer, GrantOutcome):
+            return ServerAnswer(
+                sent,
+                effect.incarnation,
+                answer.clock,
+                effect.version,
+                answer.settled,
+            )
+        if answer.stale is not None:
+            return ServerRefusal(sent, answer.stale.kind)
+        return None
+
     def send_list(self, mandate: Mandate) -> GrantOutcome:
         """Send the whole list of shards and keys."""
         return self._grant(
--- a/src/oriolearch/adapters/peer_messages.py
+++ b/src/oriolearch/adapters/peer_messages.py
@@ -310,6 +310,14 @@
     )
 
 
+def _read_hint(part: wire.Hint, path: str) -> messages.Hint:
+    return messages.Hint(
+        home=_read_authority(part.home, f'{path}.home'),
+        pool=_require(part.pool, f'{path}.pool'),
+        index=part.index,
+    )
+
+
 def write_sync_request(request: messages.SyncRequest) -> wire.SyncRequest:
     """Convert for sending."""
     return wire.SyncRequest(
@@ -327,6 +335,14 @@
         below=[_write_heard(heard) for heard in request.below],
         leaving=request.leaving,
         cold=request.cold,
+        hints=[
+            wire.Hint(
+                home=_write_authority(hint.home),
+                pool=hint.pool,
+                index=hint.index,
+            )
+            for hint in request.hints
+        ],
     )
 
 
@@ -344,6 +360,7 @@
         below=_read_each(_read_heard, part.below, 'below'),
         leaving=part.leaving,
         cold=tuple(part.cold),
+        hints=_read_each(_read_hint, part.hints, 'hints'),
     )
 
 
@@ -389,6 +406,10 @@
             for authority, holder in answer.coordinators.items()
         ],
         age_s=answer.age_s,
+        working=[
+            wire.Working(authority=_write_authority(authority), pools=pools)
+            for authority, pools in answer.working.items()
+        ],
     )
 
 
@@ -417,6 +438,10 @@
         members_digest=part.members_digest,
         coordinators=coordinators,
         age_s=_read_duration(part.age_s, 'age_s'),
+        working={
+            _read_authority(one.authority, 'working'): tuple(one.pools)
+            for one in part.working
+        },
     )
 
 
--- a/src/oriolearch/adapters/telemetry.py
+++ b/src/oriolearch/adapters/telemetry.py
@@ -136,6 +136,36 @@
         ('request', 'pool'),
         'An order was held back because its permit has ended.',
     )
+    AUTHORITY_GAINED = EventKind(
+        301,
+        logging.INFO,
+        ('zone', 'mobility', 'term'),
+        'This host became the coordinator.',
+    )
+    AUTHORITY_LOST = EventKind(
+        302,
+        logging.WARNING,
+        ('zone', 'mobility', 'term'),
+        'This host is no longer the coordinator.',
+    )
+    SYNC_IGNORED = EventKind(
+        303,
+        logging.INFO,
+        ('sender', 'error'),
+        'A part of an answer of another host was out of date or malformed.',
+    )
+    CONTROL_FAILED = EventKind(
+        304,
+        logging.ERROR,
+        ('error',),
+        'A control task met an error and goes on.',
+    )
+    CONFIG_APPLIED = EventKind(
+        305,
+        logging.INFO,
+        ('version',),
+        'A newer configuration is in force on this host.',
+    )
 
 
 def catalogue() -> str:
--- a/src/oriolearch/core/messages.py
+++ b/src/oriolearch/core/messages.py
@@ -155,6 +155,15 @@
     leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Hint:
+    """Tells a coordinator that it has become the home of a segment."""
+
+    home: AuthorityKey
+    pool: str
+    index: int
+
+
 @dataclass(frozen=True, slots=True)
 class SyncRequest:
     """What a host tells its parent each sync period.
@@ -168,6 +177,7 @@
     :param below: hosts for which this request speaks as well.
     :param leaving: the sender has begun a planned stop.
     :param cold: each ``pool/upstream`` found to be cold.
+    :param hints: segments handed to authorities that the receiver holds.
     """
 
     sender: Member
@@ -181,6 +191,7 @@
     below: tuple[Heard, ...] = ()
     leaving: bool = False
     cold: tuple[str, ...] = ()
+    hints: tuple[Hint, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,6 +209,8 @@
     :param coordinators: holders, sent together with ``members``.
     :param age_s: time since the newest statement of a coordinator that the
         sender's state rests on.
+    :param working: by authority that the sender holds, the pools that have a
+        server in its zone that can take shards.
     """
 
     sender: Member
@@ -214,3 +227,6 @@
         default_factory=lambda: MappingProxyType({}),
     )
     age_s: float = 0.0
+    working: Mapping[AuthorityKey, tuple[str, ...]] = field(
+        default_factory=lambda: MappingProxyType({}),
+    )
--- a/src/oriolearch/core/model.py
+++ b/src/oriolearch/core/model.py
@@ -94,10 +94,10 @@
     name: str
     kind: PoolKind
     upstreams: tuple[Upstream, ...]
-    shard_count: int = 1024
+    shard_count: int = 3072
     fencing: Fencing = Fencing.CHECKED
     mobility: Mobility = Mobility.MOVABLE
-    order_limit_s: float = 1.0
+    order_limit_s: float = 0.5
     timeout_s: float = 10.0
     hedge_share: float = 0.05
     retry_share: float = 0.1
--- /dev/null
+++ b/src/oriolearch/platform_calls.py
@@ -0,0 +1,70 @@
+"""Calls to the platform from the event loop, on threads."""
+
+import asyncio
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import TypeVar
+
+from oriolearch.core.errors import PlatformError, PlatformRefusedError
+from oriolearch.core.rows import (
+    Commit,
+    Committed,
+    Refused,
+    StoredRow,
+    Unresolved,
+)
+from oriolearch.ports import Condition, TableService, Write
+
+THREADS = 4
+
+_Result = TypeVar('_Result')
+
+
+class PlatformCalls:
+    """Runs blocking calls of a table service beside the event loop."""
+
+    def __init__(self, tables: TableService) -> None:
+        self.tables = tables
+        self.threads = ThreadPoolExecutor(THREADS, 'platform')
+
+    async def run(self, call: Callable[[], _Result]) -> _Result:
+        """Run any blocking call; its errors are raised here."""
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(self.threads, call)
+
+    async def read(self, table: str, key: str) -> StoredRow | None:
+        """Read one row; ``None`` without an answer."""
+        try:
+            found = await self.run(lambda: self.tables.read(table, key))
+        except PlatformError:
+            return None
+        return StoredRow(found.version, found.row)
+
+    async def scan(self, table: str) -> dict[str, StoredRow] | None:
+        """Read all rows of a table; ``None`` without an answer."""
+        try:
+            rows = await self.run(lambda: self.tables.scan(table))
+        except PlatformError:
+            return None
+        return {row.key: StoredRow(row.version, row.row) for row in rows}
+
+    async def commit(self, commit: Commit) -> Committed | Refused | Unresolved:
+        """Issue a transaction and give its outcome."""
+        conditions = [
+            Condition(one.table, one.key, one.version)
+            for one in commit.conditions
+        ]
+        writes = [Write(one.table, one.key, one.row) for one in commit.writes]
+        try:
+            versions = await self.run(
+                lambda: self.tables.commit(conditions, writes),
+            )
+        except PlatformRefusedError:
+            return Refused(commit.nonce)
+        except PlatformError:
+            return Unresolved(commit.nonce)
+        return Committed(commit.nonce, tuple(versions))
+
+    def close(self) -> None:
+        """Let running calls end and take no further ones."""
+        self.threads.shutdown(wait=False, cancel_futures=True)
--- a/src/oriolearch/schema.py
+++ b/src/oriolearch/schema.py
@@ -41,10 +41,10 @@
 
     kind: model.PoolKind
     upstreams: tuple[UpstreamModel, ...]
-    shard_count: Annotated[int, Field(ge=256, le=4194304)] = 1024
+    shard_count: Annotated[int, Field(ge=256, le=4194304)] = 3072
     fencing: model.Fencing = model.Fencing.CHECKED
     mobility: model.Mobility = model.Mobility.MOVABLE
-    order_limit_s: PositiveSeconds = 1.0
+    order_limit_s: PositiveSeconds = 0.5
     timeout_s: PositiveSeconds = 10.0
     hedge_share: Share = 0.05
     retry_share: Share = 0.1
--- a/src/oriolearch/standins/keyed.py
+++ b/src/oriolearch/standins/keyed.py
@@ -228,7 +228,17 @@
             self.grants[body.authority] = _renewed(held, body)
         else:
             self._replace(held, body, dict(body.shards))
-        return {'clock': self.clock.monotonic()}
+        is_settled = all(map(self._is_held, self.queue.running))
+        return {'clock': self.clock.monotonic(), 'settled': is_settled}
+
+    def _is_held(self, order: Order) -> bool:
+        """Tell whether a running order is for a shard of any list."""
+        shard, _ = _target(order.request)
+        key = self.key_of(order.request)
+        return any(
+            shard in held.shards or key in held.keys
+            for held in self.grants.values()
+        )
 
     def _held(self, body: GrantBody | RevokeBody) -> GrantList:
         """Give the list that a message is about, refusing older terms."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -49,6 +49,7 @@
     (messages.Heard(MEMBER, 0.2, True),),
     True,
     ('p/s2',),
+    (messages.Hint(HOME, 'p', 4),),
 )
 ANSWER = messages.SyncAnswer(
     MEMBER,
@@ -63,6 +64,7 @@
     77,
     {OTHER: REF},
     0.3,
+    {HOME: ('p', 'q')},
 )
 ASK = messages.PromiseRequest(HOME, REF, 3)
 STATEMENT = messages.PromiseAnswer(HOME, REF, 3, 0.9, True)
