--- a/src/oriolearch/adapters/peer_grpc.py
+++ b/src/oriolearch/adapters/peer_grpc.py
@@ -26,7 +26,7 @@
         return {
             '/oriolearch.Peer/Sync': grpclib.const.Handler(
                 self.Sync,
-                grpclib.const.Cardinality.UNARY_UNARY,
+                grpclib.const.Cardinality.STREAM_STREAM,
                 oriolearch.adapters.peer_pb2.SyncRequest,
                 oriolearch.adapters.peer_pb2.SyncAnswer,
             ),
@@ -42,7 +42,7 @@
 class PeerStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
-        self.Sync = grpclib.client.UnaryUnaryMethod(
+        self.Sync = grpclib.client.StreamStreamMethod(
             channel,
             '/oriolearch.Peer/Sync',
             oriolearch.adapters.peer_pb2.SyncRequest,
--- a/src/oriolearch/adapters/peer_messages.py
+++ b/src/oriolearch/adapters/peer_messages.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import sys
 import zlib
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from functools import lru_cache
@@ -100,6 +101,7 @@
     )
 
 
+@lru_cache(maxsize=1024)
 def _write_authority(authority: messages.AuthorityKey) -> wire.AuthorityKey:
     return wire.AuthorityKey(
         zone=authority.zone,
@@ -107,26 +109,27 @@
     )
 
 
+@lru_cache(maxsize=1024)
+def _authority(
+    zone: str,
+    mobility: Mobility,
+) -> messages.AuthorityKey:
+    return messages.AuthorityKey(zone, mobility)
+
+
 def _read_authority(
     part: wire.AuthorityKey,
     path: str,
 ) -> messages.AuthorityKey:
-    zone = _require(part.zone, f'{path}.zone')
+    if not part.zone:
+        _require(part.zone, f'{path}.zone')
     mobility = _MOBILITY_FROM_WIRE.get(part.mobility)
     if mobility is None:
         reason = 'unknown mobility class'
         raise ValidationError(
             _SOURCE, f'{path}.mobility', part.mobility, reason
         )
-    return messages.AuthorityKey(zone, mobility)
-
-
-def _write_revision(revision: messages.Revision) -> wire.Revision:
-    return wire.Revision(term=revision.term, number=revision.number)
-
-
-def _read_revision(part: wire.Revision) -> messages.Revision:
-    return messages.Revision(part.term, part.number)
+    return _authority(part.zone, mobility)
 
 
 def _write_known(
@@ -135,7 +138,8 @@
     return [
         wire.KnownRevision(
             authority=_write_authority(authority),
-            revision=_write_revision(revision),
+            term=revision.term,
+            number=revision.number,
         )
         for authority, revision in known.items()
     ]
@@ -146,8 +150,9 @@
     path: str,
 ) -> dict[messages.AuthorityKey, messages.Revision]:
     return {
-        _read_authority(part.authority, f'{path}.authority'): _read_revision(
-            part.revision,
+        _read_authority(part.authority, f'{path}.authority'): messages.Revision(
+            part.term,
+            part.number,
         )
         for part in parts
     }
@@ -182,7 +187,8 @@
         reason = f'must hold 1 to {SHARDS_PER_SEGMENT} shards'
         count = len(part.shard_owners)
         raise ValidationError(_SOURCE, f'{path}.shard_owners', count, reason)
-    owners: list[str | None] = [None, *part.owners]
+    # The same few thousand names occur in every segment.
+    owners: list[str | None] = [None, *map(sys.intern, part.owners)]
     highest = max([*part.shard_owners, *part.key_owners])
     if highest >= len(owners):
         reason = 'owner index out of range'
@@ -208,7 +214,8 @@
 def _write_permit(permit: messages.Permit) -> wire.Permit:
     return wire.Permit(
         authority=_write_authority(permit.authority),
-        revision=_write_revision(permit.revision),
+        term=permit.revision.term,
+        number=permit.revision.number,
         duration_s=permit.duration_s,
     )
 
@@ -216,7 +223,7 @@
 def _read_permit(part: wire.Permit, path: str) -> messages.Permit:
     return messages.Permit(
         authority=_read_authority(part.authority, f'{path}.authority'),
-        revision=_read_revision(part.revision),
+        revision=messages.Revision(part.term, part.number),
         duration_s=_read_duration(part.duration_s, f'{path}.duration_s'),
     )
 
@@ -312,11 +319,17 @@
 
 def write_sync_request(request: messages.SyncRequest) -> wire.SyncRequest:
     """Convert for sending."""
+    known = request.known
+    held = {
+        authority: revision
+        for authority, revision in request.held.items()
+        if known.get(authority) != revision
+    }
     return wire.SyncRequest(
         sender=_write_member(request.sender),
         document_version=request.document_version,
         known=_write_known(request.known),
-        held=_write_known(request.held),
+        held=_write_known(held),
         outstanding=request.outstanding,
         hot_keys=[
             wire.HotKey(pool=hot.pool, key=hot.key, rate=hot.rate)
@@ -332,11 +345,12 @@
 
 def read_sync_request(part: wire.SyncRequest) -> messages.SyncRequest:
     """Check and convert what a child sent."""
+    known = _read_known(part.known, 'known')
     return messages.SyncRequest(
         sender=_read_member(part.sender, 'sender'),
         document_version=part.document_version,
-        known=_read_known(part.known, 'known'),
-        held=_read_known(part.held, 'held'),
+        known=known,
+        held={**known, **_read_known(part.held, 'held')},
         outstanding=dict(part.outstanding),
         hot_keys=_read_each(_read_hot_key, part.hot_keys, 'hot_keys'),
         reports=_read_each(_read_report, part.reports, 'reports'),
--- a/src/oriolearch/adapters/peers.py
+++ b/src/oriolearch/adapters/peers.py
@@ -10,10 +10,12 @@
 import json
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any, Protocol, TypeVar
 
-from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.client import Channel
+from grpclib.client import Stream as ClientStream
 from grpclib.config import Configuration
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
@@ -34,9 +36,8 @@
 UNUSED_LIMIT_S = 30.0
 WINDOW_BYTES = 4 * 1024 * 1024  # a full answer passes without flow control
 
-_WireQuestion = TypeVar('_WireQuestion')
 _Answer = TypeVar('_Answer')
-_WireAnswer = TypeVar('_WireAnswer')
+_FAILURES = (GRPCError, OSError, ProtocolError, StreamTerminatedError)
 _log = logging.getLogger(__name__)
 
 
@@ -91,15 +92,13 @@
         self,
         stream: 'Stream[wire.SyncRequest, wire.SyncAnswer]',
     ) -> None:
-        part = await stream.recv_message()
-        if part is None:
-            return
-        try:
-            request = convert.read_sync_request(part)
-            answer = await self.handler.sync(request)
-        except (StaleError, ValidationError) as error:
-            raise _to_status(error) from error
-        await stream.send_message(convert.write_sync_answer(answer))
+        async for part in stream:
+            try:
+                request = convert.read_sync_request(part)
+                answer = await self.handler.sync(request)
+            except (StaleError, ValidationError) as error:
+                raise _to_status(error) from error
+            await stream.send_message(convert.write_sync_answer(answer))
 
     async def Promise(
         self,
@@ -126,9 +125,12 @@
     async def start(self, host: str, port: int) -> None:
         """Listen; with port 0, ``self.port`` has the one chosen."""
         family = socket.AF_INET6 if ':' in host else socket.AF_INET
-        listener = socket.create_server((host, port), family=family)
-        self.port = listener.getsockname()[1]
-        await self.server.start(sock=listener)
+        self.listener = socket.create_server((host, port), family=family)
+        # Accepted sockets inherit this. asyncio sets it only on a socket that
+        # names its protocol; answers would wait 40 ms for an acknowledgement.
+        self.listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.port = self.listener.getsockname()[1]
+        await self.server.start(sock=self.listener)
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
@@ -136,6 +138,57 @@
         await self.server.wait_closed()
 
 
+@dataclass(frozen=True, slots=True)
+class _Question:
+    part: wire.SyncRequest
+    reply: 'asyncio.Future[wire.SyncAnswer]'
+
+
+class _SyncStream:
+    """Owns the stream of a connection; a task of its own sends and receives."""
+
+    def __init__(self, stub: PeerStub) -> None:
+        self.stub = stub
+        self.questions: asyncio.Queue[_Question] = asyncio.Queue()
+        self.asked: _Question | None = None
+        self.task = asyncio.create_task(self._run())
+
+    async def ask(self, part: wire.SyncRequest) -> wire.SyncAnswer:
+        reply: asyncio.Future[wire.SyncAnswer] = asyncio.Future()
+        self.questions.put_nowait(_Question(part, reply))
+        return await reply
+
+    async def _run(self) -> None:
+        try:
+            async with self.stub.Sync.open() as stream:
+                await self._exchange(stream)
+        except _FAILURES as error:
+            self._fail(error)
+        finally:
+            self._fail(StreamTerminatedError('stream closed'))
+
+    async def _exchange(
+        self,
+        stream: 'ClientStream[wire.SyncRequest, wire.SyncAnswer]',
+    ) -> None:
+        while True:
+            self.asked = await self.questions.get()
+            await stream.send_message(self.asked.part)
+            answer = await stream.recv_message()
+            if answer is None:
+                return  # the status follows when the stream is left
+            if not self.asked.reply.done():
+                self.asked.reply.set_result(answer)
+
+    def _fail(self, error: Exception) -> None:
+        waiting = [] if self.asked is None else [self.asked]
+        while not self.questions.empty():
+            waiting.append(self.questions.get_nowait())
+        for question in waiting:
+            if not question.reply.done():
+                question.reply.set_exception(error)
+
+
 class PeerClient:
     """One open connection to another host.
 
@@ -155,51 +208,47 @@
             host.strip('[]'), int(port), config=_configuration()
         )
         self.stub = PeerStub(self.channel)
+        self.stream: _SyncStream | None = None
 
     async def sync(self, request: SyncRequest) -> SyncAnswer:
         """Ask a parent.
 
         :raises PeerError: without an answer within the time-out.
         """
-        return await self._call(
-            self.stub.Sync,
-            convert.write_sync_request(request),
-            convert.read_sync_answer,
-        )
+        part = convert.write_sync_request(request)
+        if self.stream is None or self.stream.task.done():
+            self.stream = _SyncStream(self.stub)
+        answer = await self._call(self.stream.ask(part))
+        return convert.read_sync_answer(answer)
 
     async def promise(self, request: PromiseRequest) -> PromiseAnswer:
         """Ask a taker; raises as :meth:`sync` does."""
-        return await self._call(
-            self.stub.Promise,
-            convert.write_promise_request(request),
-            convert.read_promise_answer,
-        )
+        part = convert.write_promise_request(request)
+        answer = await self._call(self.stub.Promise(part))
+        return convert.read_promise_answer(answer)
 
     def close(self) -> None:
         """Close the connection; calls in flight fail."""
+        if self.stream is not None:
+            self.stream.task.cancel()
+            self.stream = None
         self.channel.close()
 
-    async def _call(
-        self,
-        method: 'UnaryUnaryMethod[_WireQuestion, _WireAnswer]',
-        question: _WireQuestion,
-        read: Callable[[_WireAnswer], _Answer],
-    ) -> _Answer:
+    async def _call(self, call: Awaitable[_Answer]) -> _Answer:
         self.calls += 1
         try:
             async with asyncio.timeout(self.timeout_s):
-                part = await method(question)
+                return await call
         except TimeoutError as error:
             self.close()
             reason = f'no answer within {self.timeout_s} s'
             raise PeerError(self.address, reason) from error
         except GRPCError as error:
             raise _from_status(self.address, error) from error
-        except (OSError, ProtocolError, StreamTerminatedError) as error:
+        except _FAILURES as error:
             raise PeerError(self.address, repr(error)) from error
         finally:
             self.calls -= 1
-        return read(part)
 
 
 class PeerClients:
--- a/src/oriolearch/core/messages.py
+++ b/src/oriolearch/core/messages.py
@@ -163,7 +163,8 @@
     :param outstanding: requests running on each ``pool/upstream``, of the
         sender and of the hosts below it.
     :param held: oldest revision by which orders still run (rule G4), at the
-        sender or at any host in ``below``.
+        sender or at any host in ``below``; an authority that is absent
+        counts as in ``known``.
     :param members_digest: digest of the members that the sender knows.
     :param below: hosts for which this request speaks as well.
     :param leaving: the sender has begun a planned stop.
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import socket
 import zlib
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -40,8 +41,8 @@
 REQUEST = messages.SyncRequest(
     MEMBER,
     5,
-    {HOME: REVISION},
-    {OTHER: REVISION},
+    {HOME: REVISION, OTHER: REVISION},
+    {HOME: messages.Revision(3, 6), OTHER: REVISION},
     {'p/s1': 3},
     (messages.HotKey('p', 'k', 2.5),),
     (REPORT,),
@@ -145,8 +146,20 @@
 )
 def test_typed_errors_cross_the_connection(error: OriolearchError) -> None:
     """A caller that cannot tell why it was refused would ask for ever."""
+    handler = Handler(error)
+
+    async def act(peer: PeerClient) -> None:
+        with pytest.raises(type(error)) as refused:
+            await peer.promise(ASK)
+        with pytest.raises(type(error)) as caught:
+            await peer.sync(REQUEST)
+        assert str(caught.value) == str(refused.value)
+        handler.outcome = ANSWER
+        assert await peer.sync(REQUEST) == ANSWER
+        raise caught.value
+
     with pytest.raises(type(error)) as caught:
-        exchange(Handler(error), lambda peer: peer.sync(REQUEST))
+        exchange(handler, act)
     given = {**vars(error), 'value': repr("''")}
     assert {**given, **vars(caught.value)} == given
 
@@ -164,8 +177,26 @@
         with pytest.raises(PeerError, match='no answer'):
             await peer.sync(REQUEST)
         assert not peer.calls
+        handler.outcome = ANSWER
+        peer.timeout_s = 10
+        assert await peer.sync(REQUEST) == ANSWER
+
+    handler = Handler(asyncio.Event())
+    exchange(handler, act, timeout_s=0.05)
+
+
+def test_answers_are_not_held_back() -> None:
+    """Without TCP_NODELAY each sync took 40 ms more, and 2 ms of processor."""
+
+    async def run() -> int:
+        server = PeerServer(Handler(ANSWER))
+        await server.start('127.0.0.1', 0)
+        option = (socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        value = server.listener.getsockopt(*option)
+        await server.stop()
+        return value
 
-    exchange(Handler(asyncio.Event()), act, timeout_s=0.05)
+    assert asyncio.run(run())
 
 
 def test_refused_connection_is_a_peer_error() -> None:
