--- a/src/oriolearch/adapters/peer_messages.py
+++ b/src/oriolearch/adapters/peer_messages.py
@@ -158,7 +158,23 @@
     }
 
 
-def _write_segment(segment: messages.Segment) -> wire.Segment:
+class _Identity:
+    """Lets a cache find a value by identity, which costs no deep hash."""
+
+    def __init__(self, segment: messages.Segment) -> None:
+        self.segment = segment
+
+    def __hash__(self) -> int:
+        return id(self.segment)
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, _Identity) and self.segment is other.segment
+
+
+@lru_cache(maxsize=512)
+def _write_segment(identity: _Identity) -> wire.Segment:
+    # A relay sends the same segment to each of its children.
+    segment = identity.segment
     assignments = [*segment.shards, *segment.keys.values()]
     names = {one.owner for one in assignments if one.owner is not None}
     owners = sorted(names)
@@ -390,7 +406,7 @@
         document_zlib=None if document is None else _compress(document),
         permits=[_write_permit(permit) for permit in answer.permits],
         mandates=[_write_mandate(mandate) for mandate in answer.mandates],
-        segments=[_write_segment(segment) for segment in answer.segments],
+        segments=[_write_segment(_Identity(one)) for one in answer.segments],
         outstanding=answer.outstanding,
         members=[_write_member(member) for member in answer.members],
         cold=answer.cold,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -69,10 +69,7 @@
     ids=['listed host leaves', 'list speaks of the one before'],
 )
 def test_platform_list_names_leaving_hosts(
-    live: Membership,
-    incarnation: int,
-    heard_at: float,
-    expected: list[str],
+    live: Membership, incarnation: int, heard_at: float, expected: list[str]
 ) -> None:
     """A lagging list must not take a replaced host out of its roles."""
     live.hear(member('a', incarnation), heard_at)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,9 +8,9 @@
 from typing import Any
 
 import pytest
+from google.protobuf import text_format
 
 from oriolearch.adapters import peer_messages as convert
-from oriolearch.adapters import peer_pb2 as wire
 from oriolearch.adapters.peers import PeerClient, PeerClients, PeerServer
 from oriolearch.core import messages
 from oriolearch.core.errors import (
@@ -76,15 +76,8 @@
         self.outcome = outcome
         self.asked: list[object] = []
 
-    async def sync(self, request: messages.SyncRequest) -> Any:
-        """Answer."""
-        return await self._answer(request)
-
-    async def promise(self, request: messages.PromiseRequest) -> Any:
-        """Answer."""
-        return await self._answer(request)
-
-    async def _answer(self, request: object) -> object:
+    async def sync(self, request: object) -> Any:
+        """Answer, also to :meth:`promise`."""
         self.asked.append(request)
         if isinstance(self.outcome, Exception):
             raise self.outcome
@@ -92,6 +85,8 @@
             await self.outcome.wait()
         return self.outcome
 
+    promise = sync
+
 
 def exchange(
     handler: Handler,
@@ -122,15 +117,11 @@
         assert getattr(message, each.name), each.name
 
 
-def test_sync_carries_everything_both_ways() -> None:
-    """A field lost on the way would be a permit or a segment not known."""
+def test_calls_carry_everything_both_ways() -> None:
+    """A lost field would be a permit, a segment or a renouncement unknown."""
     handler = Handler(ANSWER)
     assert exchange(handler, lambda peer: peer.sync(REQUEST)) == ANSWER
     assert handler.asked == [REQUEST]
-
-
-def test_promise_carries_everything_both_ways() -> None:
-    """A renouncement lost on the way would keep a zone from its lease."""
     handler = Handler(STATEMENT)
     assert exchange(handler, lambda peer: peer.promise(ASK)) == STATEMENT
     assert handler.asked == [ASK]
@@ -232,68 +223,46 @@
     asyncio.run(run())
 
 
-def _answer(**changes: Any) -> wire.SyncAnswer:
-    part = convert.write_sync_answer(ANSWER)
-    for name, value in changes.items():
-        part.ClearField(name)
-        if isinstance(value, list):
-            getattr(part, name).extend(value)
-        elif isinstance(value, bytes):
-            setattr(part, name, value)
-    return part
-
-
-KEY = wire.AuthorityKey(zone='z1', mobility=wire.PINNED)
+KEY = "authority {zone: 'z' mobility: PINNED}"
 BOMB = zlib.compress(bytes(convert.MAX_DOCUMENT_BYTES + 1))
 
 
 @pytest.mark.parametrize(
-    ('field', 'part'),
+    ('field', 'text'),
     [
-        ('sender.ref.host', _answer(sender=None)),
-        ('permits[0].authority.zone', _answer(permits=[wire.Permit()])),
-        (
-            'permits[0].authority.mobility',
-            _answer(permits=[wire.Permit(authority={'zone': 'z'})]),
-        ),
-        (
-            'permits[0].duration_s',
-            _answer(permits=[wire.Permit(authority=KEY, duration_s=-1)]),
-        ),
-        (
-            'permits[0].duration_s',
-            _answer(
-                permits=[wire.Permit(authority=KEY, duration_s=float('inf'))],
-            ),
-        ),
-        ('mandates[0].shards', _answer(mandates=[wire.Mandate(shards=[1])])),
-        ('segments[0].shard_owners', _answer(segments=[wire.Segment()])),
-        (
-            'segments[0].owners',
-            _answer(
-                segments=[wire.Segment(shard_owners=[1], shard_epochs=[1])],
-            ),
-        ),
-        (
-            'segments[0].keys',
-            _answer(segments=[wire.Segment(keys=['a'])]),
-        ),
-        ('document_zlib', _answer(document_zlib=b'x')),
-        ('document_zlib', _answer(document_zlib=BOMB)),
-        ('document_zlib', _answer(document_zlib=zlib.compress(b'ab')[:-2])),
-        ('document_zlib', _answer(document_zlib=zlib.compress(b'\xff'))),
+        ('sender.ref.host', 'sender {ref {host: ""}}'),
+        ('permits[1].authority.zone', 'permits {}'),
+        ('permits[1].authority.mobility', "permits {authority {zone: 'z'}}"),
+        ('permits[1].duration_s', f'permits {{{KEY} duration_s: -1}}'),
+        ('permits[1].duration_s', f'permits {{{KEY} duration_s: inf}}'),
+        ('mandates[2].shards', 'mandates {shards: 1}'),
+        ('segments[1].shard_owners', 'segments {}'),
+        ('segments[1].owners', 'segments {shard_owners: 1 shard_epochs: 1}'),
+        ('segments[1].keys', "segments {keys: 'a'}"),
     ],
 )
-def test_malformed_answer_names_its_field(
-    field: str,
-    part: wire.SyncAnswer,
-) -> None:
+def test_malformed_answer_names_its_field(field: str, text: str) -> None:
     """A value that passes unchecked would fail later inside the core."""
+    part = convert.write_sync_answer(ANSWER)
+    text_format.Merge(text, part)
     with pytest.raises(ValidationError) as caught:
         convert.read_sync_answer(part)
     assert caught.value.field == field
 
 
+@pytest.mark.parametrize(
+    'blob',
+    [b'x', BOMB, zlib.compress(b'ab')[:-2], zlib.compress(b'\xff')],
+    ids=['no zlib', 'too large', 'cut off', 'no UTF-8'],
+)
+def test_malformed_document_is_refused(blob: bytes) -> None:
+    """A small message must not take all memory, nor a broken one pass."""
+    part = convert.write_sync_answer(ANSWER)
+    part.document_zlib = blob
+    with pytest.raises(ValidationError, match='document_zlib'):
+        convert.read_sync_answer(part)
+
+
 @pytest.mark.parametrize('address', ['', 'host', ':1', 'h:x'])
 def test_malformed_address_is_refused(address: str) -> None:
     """A wrong seed in the settings must be named, not time out."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -63,9 +63,7 @@
     ids=['join', 'leave', 'zone out', 'zone back', 'drain', 'weight', 'all'],
 )
 def test_change_moves_the_least(
-    first: dict[str, float],
-    then: dict[str, float],
-    limit: int,
+    first: dict[str, float], then: dict[str, float], limit: int
 ) -> None:
     """Each needless move takes a key away from its server for a second."""
     shards: Owners = dict.fromkeys(range(1024))
--- a/tests/test_syncing.py
+++ b/tests/test_syncing.py
@@ -122,9 +122,7 @@
     ],
 )
 def test_nothing_goes_back(
-    chain: list[SyncKeeper],
-    answer: SyncAnswer,
-    problem: str,
+    chain: list[SyncKeeper], answer: SyncAnswer, problem: str
 ) -> None:
     """An outdated parent would revert an accepted change."""
     leaf = chain[2]
