--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -27,7 +27,12 @@
 from oriolearch.adapters import peer_messages
 from oriolearch.adapters.peers import PeerClient, PeerServer
 from oriolearch.core.hotkeys import HotKeySketch
-from oriolearch.core.membership import Charges, Membership, SyncTree
+from oriolearch.core.membership import (
+    CHILDREN_LIMIT,
+    Charges,
+    Membership,
+    SyncTree,
+)
 from oriolearch.core.messages import (
     AuthorityKey,
     Heard,
@@ -55,6 +60,7 @@
 SYNC_PERIOD_S = 0.2
 EXCHANGES = 100
 RELAY_SPAN_S = 6.0
+HOTTEST = 33
 RELAY_ENTRIES = (0, 50)
 HOST_COUNTS = (96, 192, 383, 766)
 REQUEST_COUNTS = (50_000, 100_000, 200_000)
@@ -357,7 +363,7 @@
     people = peer_messages.write_sync_answer(
         answer(members=tuple(map(member, range(members))))
     )
-    keeper = SyncKeeper(member(0), lambda _: Document())
+    keeper = SyncKeeper(member(ZONES), lambda _: Document())
     gc.collect()
     tracemalloc.start()
     parts.append(people)
@@ -367,6 +373,7 @@
     used, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     assert len(keeper.view.segments) == segments
+    assert len(keeper.view.members) == members
     return used
 
 
@@ -422,7 +429,8 @@
         known.expect(members, 0)
         live.append((count, cpu_ms(partial(known.live, 0))))
         root = members[0].ref.host
-        tree.append((count, cpu_ms(partial(SyncTree, members, root))))
+        pairs = count * -(-count // CHILDREN_LIMIT)
+        tree.append((pairs, cpu_ms(partial(SyncTree, members, root))))
         charges = Charges()
         charges.update(members)
         names = [f'orders/server-{number:04}' for number in range(333)]
@@ -437,7 +445,7 @@
 
         joins.append((count, cpu_ms(restart)))
     yield fit('membership list', 'hosts', 'cpu ms', live)
-    yield fit('sync tree', 'hosts', 'cpu ms', tree)
+    yield fit('sync tree', 'hosts times relays', 'cpu ms', tree)
     yield fit('renewers, one restart', 'hosts', 'cpu ms', joins)
 
 
@@ -459,6 +467,27 @@
     yield fit('hot key sketch', 'requests', 'cpu ms', points)
 
 
+def _found(rate: int) -> int:
+    keys = 10**6
+    weights = list(accumulate(1 / (rank + 1) for rank in range(keys)))
+    rng = random.Random(rate)
+    sketch = HotKeySketch()
+    sketch.decay(0)
+    for second in range(1, 31):
+        shift = 0 if second <= 15 else keys
+        for rank in rng.choices(range(keys), cum_weights=weights, k=rate):
+            sketch.add(f'k{rank + shift if rank < HOTTEST else rank}')
+        sketch.decay(second)
+    hottest = {f'k{rank + keys}' for rank in range(HOTTEST)}
+    return len(hottest & {hot.key for hot in sketch.top('p', HOTTEST)})
+
+
+def measure_precision() -> Iterator[Series]:
+    """Hottest 33 keys named 15 s after all of them changed, Zipf stream."""
+    found = [(rate, _found(rate)) for rate in (500, 2000, 8000)]
+    yield fit('hot keys found of 33', 'requests/s', 'keys', found)
+
+
 def main() -> None:
     """Run all measurements; arguments choose some by name."""
     kinds = {
@@ -468,6 +497,7 @@
         'plan': measure_plan,
         'membership': measure_membership,
         'sketch': measure_sketch,
+        'precision': measure_precision,
     }
     print(
         f'{"":24}{"per":18}{"unit":13}{"slope":>12}{"intercept":>12}{"residual":>11}'
--- a/tests/test_hotkeys.py
+++ b/tests/test_hotkeys.py
@@ -1,5 +1,6 @@
 """Guards which keys are called hot and when they are split out."""
 
+import math
 import random
 from itertools import accumulate
 
@@ -42,9 +43,12 @@
     for number in range(100):
         sketch.add(f'k{number}')
     sketch.decay(1)
-    assert sketch.floor > 0
+    floor = sketch.floor
+    assert floor > 0
     rates = [hot.rate * sketch.span_s for hot in sketch.top('p')]
     assert max(rates) <= 1
+    sketch.decay(1 + hotkeys.DECAY_S)
+    assert sketch.floor == pytest.approx(floor / math.e)
     assert HotKeySketch().top('p') == ()
 
 
--- a/tests/test_syncing.py
+++ b/tests/test_syncing.py
@@ -184,9 +184,9 @@
         ('p/c',),
     )
     sync(leaf, relay, 1, replace(state, leaving=True))
-    other = keeper('other')
-    sync(other, relay, 1, replace(state, reports=(report(0.1, 1, False),)))
     sync(leaf, relay, 1.1, replace(state, hot_keys=None, leaving=True))
+    other = keeper('other')
+    sync(other, relay, 1.1, replace(state, reports=(report(0.1, 1, False),)))
     request = relay.request(OwnState({'p/a': 1}, hot_keys=()), 1.2)
     assert request.outstanding == {'p/a': 3, 'p/b': 4}
     assert request.hot_keys == (HotKey('p', 'k', 4),)
@@ -198,8 +198,10 @@
     assert (merged.mandate_version, merged.stopped) == (2, True)
     assert merged.ends_in_s == pytest.approx(0.415)  # not less than is left
     ages = {one.member.ref.host: one.age_s for one in request.below}
-    assert ages == pytest.approx({'leaf': 0.1, 'other': 0.2})
-    assert [one.leaving for one in request.below] == [False, True]
+    assert ages == pytest.approx({'leaf': 0.1, 'other': 0.1})
+    assert [one.leaving for one in request.below] == [True, False]
+    root.hear(request, 1.2)
+    assert root.answer(request, 1.2).outstanding == {}
     assert relay.others_outstanding(1.2) == {'p/a': 2, 'p/b': 4}
     sync(leaf, relay, 1.2, state)
     assert leaf.others_outstanding(1.2) == {'p/a': 2, 'p/b': 2}
