--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(BIN)/pip install -q --no-deps --no-build-isolation -e .
 	touch $@
 
-.PHONY: install demo serve test lint format soak bench capacity proto
+.PHONY: install demo serve test lint format soak bench bench-datapath capacity proto
 install: $(STAMP)
 
 demo: $(STAMP)
@@ -29,6 +29,9 @@
 format: $(STAMP)
 	$(BIN)/ruff format src tests bench
 
+bench-datapath: $(STAMP)
+	$(BIN)/python -m bench.datapath
+
 PROTO := src/oriolearch/adapters/peer.proto
 proto: $(STAMP)
 	PATH=$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc -Isrc --python_out=src \
@@ -36,3 +39,8 @@
 
 capacity: $(STAMP)
 	$(BIN)/python -m bench.capacity
+
+SEED ?= 1
+STEPS ?= 200
+soak: $(STAMP)
+	$(BIN)/python -m oriolearch.soak --seed $(SEED) --steps $(STEPS)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -38,8 +38,20 @@
 BUSY = {'p/s1': 3}
 HOT = (messages.HotKey('p', 'k', 2.5),)
 HEARD = (messages.Heard(MEMBER, 0.2, True),)
+HINTS = (messages.Hint(HOME, 'p', 4),)
 REQUEST = messages.SyncRequest(
-    MEMBER, 5, KNOWN, HELD, BUSY, HOT, (REPORT,), 1 << 63, HEARD, True, ('c',)
+    MEMBER,
+    5,
+    KNOWN,
+    HELD,
+    BUSY,
+    HOT,
+    (REPORT,),
+    1 << 63,
+    HEARD,
+    True,
+    ('c',),
+    HINTS,
 )
 PERMITS = (messages.Permit(HOME, REVISION, 0.6),)
 BOTH = (MANDATE, dataclasses.replace(MANDATE, renewer=None))
@@ -58,6 +70,7 @@
     77,
     HOLDERS,
     0.3,
+    {HOME: ('p', 'q')},
 )
 ASK = messages.PromiseRequest(HOME, REF, 3)
 STATEMENT = messages.PromiseAnswer(HOME, REF, 3, 0.9, True)
