Take in withdrawn owners and handed segments

A coordinator withdraws an owner (rule G4) by a new revision of the same row version. Hosts skipped content of a version that they held, so that they went on sending orders to the old owner, with fresh permits of the new revision. Within one home the later revision now counts. A segment that another home took over is taken in by its row version even where the sender does not know a revision of that home, and reaches children by the revision of either home. Both failures have a test that fails before.

--- a/src/oriolearch/core/syncing.py
+++ b/src/oriolearch/core/syncing.py
@@ -118,6 +118,19 @@
     return StaleError('revision', given.number, known.number)
 
 
+def _segment_problem(
+    segment: Segment,
+    known: Segment,
+    stated: Revision | None,
+) -> Iterator[OriolearchError]:
+    if segment.version < known.version:
+        yield StaleError('segment', segment.version, known.version)
+    is_newer = segment.version > known.version
+    if is_newer and stated is None and segment.home == known.home:
+        reason = 'has no revision in the answer'
+        yield ValidationError(_SOURCE, 'home', segment.home, reason)
+
+
 class SyncKeeper:
     """The state of one host in the sync tree.
 
@@ -340,21 +353,39 @@
             return self.view.segments
         segments = dict(self.view.segments)
         for segment in answer.segments:
-            home, key = segment.home, (segment.pool, segment.index)
-            revision = stated.get(home)
-            if revision is None:
-                reason = 'has no revision in the answer'
-                problems.append(ValidationError(_SOURCE, 'home', home, reason))
-                continue
+            key = (segment.pool, segment.index)
             known = segments.get(key)
-            version = -1 if known is None else known.version
-            if segment.version < version:
-                problems.append(StaleError('segment', segment.version, version))
-            elif segment.version > version and revision >= self.revisions[home]:
+            revision = stated.get(segment.home)
+            if known is not None:
+                problems.extend(_segment_problem(segment, known, revision))
+            if known is None or self._is_news(segment, known, revision):
                 segments[key] = segment
-                self.changed.setdefault(home, {})[key] = revision
+                self._mark_changed(segment.home, key)
+                if known is not None and known.home != segment.home:
+                    # A child may know the new home's revision already, and
+                    # then learns of the change by that of the earlier home.
+                    self._mark_changed(known.home, key)
         return segments
 
+    def _is_news(
+        self,
+        segment: Segment,
+        known: Segment,
+        stated: Revision | None,
+    ) -> bool:
+        if known.home != segment.home:
+            return segment.version > known.version
+        newest = self.revisions.get(segment.home)
+        if stated is None or newest is None or stated < newest:
+            return False
+        # A coordinator withdraws an owner (rule G4) before it writes the row,
+        # so that two contents of one version differ by their revision only.
+        return segment.version >= known.version and segment != known
+
+    def _mark_changed(self, home: AuthorityKey, key: SegmentKey) -> None:
+        revision = self.revisions.get(home, Revision(0, 0))
+        self.changed.setdefault(home, {})[key] = revision
+
     def _absorb_mandates(
         self,
         answer: SyncAnswer,
@@ -438,13 +469,17 @@
         self,
         known: Mapping[AuthorityKey, Revision],
     ) -> Iterator[Segment]:
+        wanted: dict[SegmentKey, None] = {}
         for home, changes in self.changed.items():
             since = known.get(home)
-            if since is not None and since >= self.revisions[home]:
+            newest = self.revisions.get(home)
+            if since is not None and newest is not None and since >= newest:
                 continue
             for key, revision in changes.items():
                 if since is None or revision > since:
-                    yield self.view.segments[key]
+                    wanted[key] = None
+        for key in wanted:
+            yield self.view.segments[key]
 
     def _group_outstanding(self, now: float) -> Mapping[str, int]:
         self.children.forget_silent(now)
--- a/tests/test_syncing.py
+++ b/tests/test_syncing.py
@@ -147,6 +147,37 @@
     assert len(sync(keeper('new'), relay, 0.2).segments) == 2
 
 
+def test_owner_is_withdrawn_before_its_row_changes(
+    chain: list[SyncKeeper],
+) -> None:
+    """A withdrawal of the same row version was skipped, against rule G4."""
+    root, relay, leaf = chain
+    gone = replace(segment(0, 5), shards=(Assignment(None, 1),))
+    root.absorb(says(number=2, segments=(gone,)), 0.1)
+    sync(relay, root, 0.1)
+    sync(leaf, relay, 0.1)
+    assert len(leaf.absorb(says(segments=(segment(0, 5),)), 0.1)) == 1
+    assert leaf.view.segments['p', 0] == gone
+
+
+@pytest.mark.parametrize('known', [False, True], ids=['new home', 'known home'])
+def test_segment_follows_to_another_home(
+    chain: list[SyncKeeper], known: bool
+) -> None:
+    """A host that misses the change keeps the old owner with new permits."""
+    root, relay, leaf = chain
+    if known:
+        ahead = replace(says().permits[0], authority=AWAY)
+        leaf.absorb(says(permits=(ahead,)), 0.1)
+        behind = replace(ahead, revision=Revision(1, 0))
+        root.absorb(says(permits=(behind,)), 0.1)
+    moved = replace(segment(0, 9), home=AWAY)
+    assert root.absorb(says(number=2, segments=(moved,)), 0.1) == ()
+    sync(relay, root, 0.1)
+    sync(leaf, relay, 0.1)
+    assert leaf.view.segments['p', 0] == moved
+
+
 def test_mandates_reach_their_renewers_only(chain: list[SyncKeeper]) -> None:
     """A host without a mandate would renew grants that were withdrawn."""
     root, relay, leaf = chain
