--- a/src/oriolearch/authorities.py
+++ b/src/oriolearch/authorities.py
@@ -13,7 +13,6 @@
     Iterator,
     Mapping,
 )
-from dataclasses import replace
 from typing import Any
 
 from oriolearch.adapters.peers import PeerClients
@@ -181,9 +180,9 @@
             duty.homes = self.homes
             share = duty.share_all(known.get(key), now)
             if share is not None:
-                # Other homes publish their segments themselves.
-                own = [one for one in share.segments if one.home == key]
-                shares.append(replace(share, segments=tuple(own)))
+                # Segments handed to other homes are among them: a host that
+                # missed this would use the old owner with new permits.
+                shares.append(share)
         return shares
 
     def working(self, now: float) -> dict[AuthorityKey, tuple[str, ...]]:
