Test the entry with broken connections, and fix two wrong refusals

A refusal after a proof of not owner said unknown: a decision to send that was dropped still counted as running when the ticket was read before its close. A passed deadline was answered with 502 when the last attempt had failed by it; it is 504 now.

--- a/src/oriolearch/adapters/dispatch.py
+++ b/src/oriolearch/adapters/dispatch.py
@@ -131,8 +131,10 @@
         exchange.ticket = None
         gate = exchange.gate
         with gate.lock:
-            exchange.maybe_run = exchange.maybe_run or ticket.may_have_run()
             gate.policy.close(time.monotonic(), ticket)
+            # Asked after the close: a decision to send that was not carried
+            # out counts as running before.
+            exchange.maybe_run = exchange.maybe_run or ticket.may_have_run()
             gate.waiting.pop(ticket, None)
             gate.wake()
         for attempt_id in tuple(exchange.running):
@@ -206,7 +208,11 @@
         if exchange.is_gone:
             raise CallerGoneError
         if isinstance(decision, Refuse):
-            raise refused_by_policy(decision.refusal, exchange.maybe_run)
+            raise refused_by_policy(
+                decision.refusal,
+                exchange.maybe_run,
+                is_late=time.monotonic() >= exchange.deadline,
+            )
         if isinstance(decision, Send):
             return self._launch(exchange, decision.attempt)
         if exchange.running:
--- a/src/oriolearch/adapters/problems.py
+++ b/src/oriolearch/adapters/problems.py
@@ -46,13 +46,19 @@
         self.fields = fields or []
 
 
-def refused_by_policy(refusal: Refusal, maybe_run: bool) -> RefusedError:
+def refused_by_policy(
+    refusal: Refusal,
+    maybe_run: bool,
+    is_late: bool,
+) -> RefusedError:
     """Give the error for a refusal of the policy.
 
     :param maybe_run: an earlier ticket of the request may have run.
+    :param is_late: the deadline has passed.
     """
+    late = HTTPStatus.GATEWAY_TIMEOUT
     return RefusedError(
-        _STATUSES[refusal.reason],
+        late if is_late else _STATUSES[refusal.reason],
         str(refusal.reason),
         'the request got no answer from an upstream',
         maybe_run or refusal.outcome is Outcome.UNKNOWN,
--- /dev/null
+++ b/tests/entries.py
@@ -0,0 +1,124 @@
+"""Entries, views and calls that several tests use."""
+
+import random
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from http.client import HTTPConnection, HTTPException
+from typing import Any
+
+from oriolearch.adapters.entry import Entry
+from oriolearch.adapters.exchange import (
+    EntrySettings,
+    Published,
+    ServerClock,
+)
+from oriolearch.core.messages import AuthorityKey, Segment
+from oriolearch.core.model import (
+    Assignment,
+    Document,
+    KeySource,
+    Mobility,
+    Pool,
+    PoolKind,
+    Route,
+    Upstream,
+)
+from oriolearch.core.view import View
+
+HOME = AuthorityKey('a', Mobility.MOVABLE)
+WAIT_S = 20.0
+
+
+def make_view(
+    plain: tuple[str, ...] = (),
+    keyed: tuple[str, ...] = (),
+    owner: str = 'k0',
+    epoch: int = 1,
+    permit_end: float = 0,
+    **keyed_settings: Any,
+) -> View:
+    """Give a view with a plain and a keyed pool at these addresses."""
+    found = {
+        letter: tuple(
+            Upstream(f'{letter}{number}', address, 'a', slots=8)
+            for number, address in enumerate(addresses)
+        )
+        for letter, addresses in (('p', plain), ('k', keyed))
+    }
+    pools = {
+        'plain': Pool('plain', PoolKind.PLAIN, found['p']),
+        'keyed': Pool(
+            'keyed',
+            PoolKind.KEYED,
+            found['k'],
+            shard_count=256,
+            **keyed_settings,
+        ),
+    }
+    key = KeySource(path_segment=1)
+    routes = {
+        'files': Route('files', '/files', 'plain'),
+        'orders': Route('orders', '/orders', 'keyed', key=key),
+    }
+    shards = (Assignment(owner, epoch),) * 256
+    segments = {('keyed', 0): Segment('keyed', 0, HOME, epoch, shards)}
+    document = Document(1, routes, pools)
+    return View(document, segments, {HOME: permit_end})
+
+
+def make_entry(
+    view: View,
+    clocks: Mapping[str, ServerClock] | None = None,
+    **settings: Any,
+) -> Entry:
+    """Give an entry on a free port, with short waits."""
+    return Entry(
+        ('127.0.0.1', 0),
+        Published(view),
+        EntrySettings('a', 'h', **({'moved_wait_s': 0.5} | settings)),
+        random.Random(1),
+        clocks=clocks,
+    )
+
+
+@dataclass(frozen=True)
+class Result:
+    """What a caller got; status 0 stands for a broken connection."""
+
+    status: int
+    body: bytes = b''
+    outcome: str | None = None
+    retry_after: str | None = None
+
+
+def call(
+    address: tuple[str, int],
+    method: str,
+    path: str,
+    body: Any = None,
+    headers: Mapping[str, str] | None = None,
+) -> Result:
+    """Send one request on a connection of its own."""
+    conn = HTTPConnection(*address, timeout=WAIT_S)
+    try:
+        conn.request(method, path, body=body, headers=dict(headers or {}))
+        found = conn.getresponse()
+        return Result(
+            found.status,
+            found.read(),
+            found.headers.get('oriolearch-outcome'),
+            found.headers.get('retry-after'),
+        )
+    except (OSError, HTTPException):
+        return Result(0)
+    finally:
+        conn.close()
+
+
+def wait_until(condition: Callable[[], object]) -> None:
+    """Wait for a condition; fails after a generous time."""
+    end = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < end, 'the condition was not met in time'
+        time.sleep(0.005)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,109 +1,479 @@
 """Requests through the entry over real sockets."""
 
-import random
+import socket
+import threading
+import time
 from collections.abc import Callable, Iterator
 from http.client import HTTPConnection
 
 import pytest
 
-from oriolearch.adapters.entry import Entry
-from oriolearch.adapters.exchange import EntrySettings, Published
-from oriolearch.core.messages import AuthorityKey, Segment
-from oriolearch.core.model import (
-    Assignment,
-    Document,
-    KeySource,
-    Mobility,
-    Pool,
-    PoolKind,
-    Route,
-    Upstream,
+from oriolearch.adapters.callers import CallerLimits
+from oriolearch.adapters.exchange import ServerClock
+from oriolearch.core.model import Fencing
+from tests.conftest import Started
+from tests.entries import WAIT_S, Result, call, make_view, wait_until
+from tests.upstreams import Call, FakeUpstream, Script, echo
+
+Upstreams = Callable[..., FakeUpstream]
+Start = Callable[..., Started]
+
+
+def hang(call: Call) -> None:
+    """Run the work and never answer."""
+    call.read_body()
+    call.stream.read(1)  # until the connection is closed
+
+
+def test_requests_reach_their_pools(upstream: Upstreams, start: Start) -> None:
+    """A request must reach the pool of its route, with key and epoch."""
+    plain, keyed = upstream(), upstream()
+    _, address = start(make_view((plain.address,), (keyed.address,)))
+    for path, fake in (('/files/a', plain), ('/orders/k1', keyed)):
+        assert call(address, 'POST', path, b'sent').body == b'sent'
+        assert fake.requests[-1].target == path
+    sent = keyed.requests[-1].headers
+    assert sent['oriolearch-epoch'] == '1'
+    assert 0 < int(sent['oriolearch-deadline-ms']) <= 10000
+
+
+def test_fields_that_end_at_a_hop(upstream: Upstreams, start: Start) -> None:
+    """Hop-by-hop and forged own fields must reach neither side."""
+
+    def script(call: Call) -> None:
+        call.answer(b'', connection='x-c', x_c='1', x_d='2', keep_alive='5')
+
+    fake = upstream(script)
+    _, address = start(make_view((fake.address,)))
+    conn = HTTPConnection(*address, timeout=WAIT_S)
+    conn.request(
+        'GET',
+        '/files/a',
+        headers={
+            'Connection': 'X-A',
+            'X-A': '1',
+            'X-B': '2',
+            'Oriolearch-Epoch': '9',
+            'Proxy-Authorization': 'x',
+        },
+    )
+    answered = {name.lower() for name, _ in conn.getresponse().getheaders()}
+    conn.close()
+    sent = fake.requests[0].headers.keys()
+    assert {'x-b', 'x-forwarded-for', 'host'} <= sent
+    assert not {'x-a', 'oriolearch-epoch', 'proxy-authorization'} & sent
+    assert 'x-d' in answered
+    assert not {'x-c', 'keep-alive', 'oriolearch-attempt'} & answered
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'headers', 'status'),
+    [
+        ('GET', '/nowhere', {}, 404),
+        ('GET', '/orders', {}, 400),
+        ('GET', '/files/../orders/k', {}, 400),
+        ('GET', '/files/%2e%2e/orders/k', {}, 400),
+        ('GET', '/files/a', {'oriolearch-timeout-ms': '-1'}, 400),
+        ('GET', '/oriolearch/other', {}, 404),
+    ],
 )
-from oriolearch.core.view import View
-from tests.upstreams import FakeUpstream
-
-Starter = Callable[[View], tuple[Entry, HTTPConnection]]
-HOME = AuthorityKey('a', Mobility.MOVABLE)
-
-
-def make_view(
-    plain: list[FakeUpstream],
-    keyed: list[FakeUpstream],
-    owner: str = 'k0',
-    epoch: int = 1,
-    **pool_settings: object,
-) -> View:
-    def ups(letter: str, fakes: list[FakeUpstream]) -> tuple[Upstream, ...]:
-        return tuple(
-            Upstream(f'{letter}{number}', fake.address, 'a', slots=4)
-            for number, fake in enumerate(fakes)
-        )
+def test_refusals_are_typed_and_not_run(
+    upstream: Upstreams,
+    start: Start,
+    method: str,
+    path: str,
+    headers: dict[str, str],
+    status: int,
+) -> None:
+    """A request without a pool must be refused as not run."""
+    fake = upstream()
+    _, address = start(make_view((fake.address,), (fake.address,)))
+    found = call(address, method, path, headers=headers)
+    assert (found.status, found.outcome) == (status, 'not-run')
+    assert b'urn:oriolearch:problem:' in found.body
+    assert not fake.requests
 
-    pools = {
-        'plain': Pool('plain', PoolKind.PLAIN, ups('p', plain)),
-        'keyed': Pool(
-            'keyed',
-            PoolKind.KEYED,
-            ups('k', keyed),
-            shard_count=256,
-            **pool_settings,  # type: ignore[arg-type]
-        ),
-    }
-    routes = {
-        'files': Route('files', '/files', 'plain'),
-        'orders': Route(
-            'orders',
-            '/orders',
-            'keyed',
-            key=KeySource(path_segment=1),
+
+def test_duplicate_idempotency_key(upstream: Upstreams, start: Start) -> None:
+    """A duplicate of a running request must not run beside it."""
+    release = threading.Event()
+
+    def script(call: Call) -> None:
+        release.wait(WAIT_S)
+        call.answer(b'first')
+
+    fake = upstream(script)
+    _, address = start(make_view((fake.address,)))
+    headers = {'Idempotency-Key': 'x'}
+    found: list[Result] = []
+    first = threading.Thread(
+        target=lambda: found.append(
+            call(address, 'POST', '/files/a', b'', headers),
         ),
-    }
-    shards = (Assignment(owner, epoch),) * 256
-    segment = Segment('keyed', 0, HOME, epoch, shards)
-    return View(
-        Document(1, routes, pools),
-        {('keyed', 0): segment},
     )
+    first.start()
+    wait_until(lambda: fake.requests)
+    second = call(address, 'POST', '/files/a', b'', headers)
+    assert (second.status, second.outcome) == (409, 'not-run')
+    release.set()
+    first.join(WAIT_S)
+    assert found[0].body == b'first'
+    assert call(address, 'POST', '/files/a', b'', headers).status == 200
+
+
+def not_owner(call: Call) -> None:
+    """Refuse as a server does that does not hold the key."""
+    call.read_body()
+    call.answer(b'', 421, oriolearch_not_run='1')
+
+
+def test_moved_key_runs_once_at_new_owner(
+    upstream: Upstreams,
+    start: Start,
+) -> None:
+    """After a proof of "not owner" the new owner must run it, once."""
+    old, new = upstream(not_owner), upstream()
+    addresses = (old.address, new.address)
+    entry, address = start(make_view((), addresses), moved_wait_s=WAIT_S)
+    found: list[Result] = []
+    caller = threading.Thread(
+        target=lambda: found.append(call(address, 'POST', '/orders/k', b'x')),
+    )
+    caller.start()
+    wait_until(lambda: old.requests)
+    entry.published.publish(make_view((), addresses, 'k1', 2))
+    caller.join(WAIT_S)
+    assert (found[0].status, found[0].body) == (200, b'x')
+    assert [call.body for call in new.requests] == [b'x']
+    assert new.requests[0].headers['oriolearch-epoch'] == '2'
+
+
+def test_key_without_owner_is_refused(
+    upstream: Upstreams,
+    start: Start,
+) -> None:
+    """Without a new owner the refusal must say that it was not run."""
+    fake = upstream(not_owner)
+    _, address = start(make_view((), (fake.address,)))
+    found = call(address, 'POST', '/orders/k', b'x')
+    assert (found.status, found.outcome) == (503, 'not-run')
+    assert found.retry_after == '1'
+
+
+@pytest.mark.parametrize(
+    ('permit_s', 'has_clock', 'is_sent'),
+    [(WAIT_S, True, True), (-1, True, False), (WAIT_S, False, False)],
+    ids=['permitted', 'permit ended', 'clock unknown'],
+)
+def test_orders_to_pool_without_fencing(
+    upstream: Upstreams,
+    start: Start,
+    permit_s: float,
+    has_clock: bool,
+    is_sent: bool,
+) -> None:
+    """An order without permit or deadline could run beside a new owner."""
+    fake = upstream()
+    now = time.monotonic()
+    view = make_view(
+        (),
+        (fake.address,),
+        permit_end=now + permit_s,
+        fencing=Fencing.NONE,
+    )
+    clocks = {'k0': ServerClock(5000, now)} if has_clock else {}
+    _, address = start(view, clocks=clocks)
+    found = call(address, 'POST', '/orders/k', b'x')
+    if is_sent:
+        limit = float(fake.requests[0].headers['oriolearch-deadline-clock'])
+        longest = 5000 + time.monotonic() - now + 1
+        assert 5000 < limit <= longest
+        assert found.status == 200
+    else:
+        assert (found.status, found.outcome) == (503, 'not-run')
+        assert not fake.requests
+
+
+def test_gone_caller_cancels_attempt(
+    upstream: Upstreams,
+    start: Start,
+) -> None:
+    """Work for a caller that is gone must not keep an upstream busy."""
+    fake = upstream(hang)
+    entry, address = start(make_view((fake.address,)))
+    with socket.create_connection(address) as sock:
+        sock.sendall(b'POST /files/a HTTP/1.1\r\nhost: x\r\n\r\n')
+        wait_until(lambda: fake.requests)
+    attempt = fake.requests[0].headers['oriolearch-attempt']
+    wait_until(lambda: fake.cancelled == [attempt])
+    wait_until(lambda: not entry.exchanges)
+    assert not any(entry.outstanding().values())
+
+
+class Faults:
+    """Breaks the first request; serves later ones well."""
+
+    def __init__(self, fault: Script) -> None:
+        self.fault = fault
+        self.lock = threading.Lock()
+        self.calls = 0
+
+    def __call__(self, call: Call) -> None:
+        """Serve a request."""
+        with self.lock:
+            self.calls += 1
+            is_first = self.calls == 1
+        (self.fault if is_first else echo)(call)
+
 
+def reset_unread(call: Call) -> None:
+    """Reset before the body is read."""
+    call.reset()
 
-@pytest.fixture
-def upstreams() -> Iterator[list[FakeUpstream]]:
-    fakes = [FakeUpstream() for _ in range(2)]
-    yield fakes
-    for fake in fakes:
-        fake.close()
 
+def close_unanswered(call: Call) -> None:
+    """Run the work and close."""
+    call.read_body()
+    call.close()
 
-@pytest.fixture
-def start() -> Iterator[Starter]:
-    entries = []
 
-    def starter(view: View) -> tuple[Entry, HTTPConnection]:
-        entry = Entry(
-            ('127.0.0.1', 0),
-            Published(view),
-            EntrySettings('a', 'h'),
-            random.Random(1),
+def cut_answer(call: Call) -> None:
+    """Run the work and close within the answer."""
+    call.read_body()
+    call.answer(b'x' * 100, cut=50)
+    call.close()
+
+
+def cut_large_answer(call: Call) -> None:
+    """Run the work and close within an answer that is passed on."""
+    call.read_body()
+    call.answer(b'x' * 200000, cut=150000)
+    call.close()
+
+
+def cut_head(call: Call) -> None:
+    """Run the work and close within the head of the answer."""
+    call.read_body()
+    call.sock.sendall(b'HTTP/1.1 200 OK\r\nconte')
+    call.close()
+
+
+def shed(call: Call) -> None:
+    """Refuse with proof."""
+    call.answer(b'busy', 503, oriolearch_not_run='1')
+
+
+def wrong_attempt(call: Call) -> None:
+    """Answer as if to another request."""
+    call.read_body()
+    call.answer(b'of another caller', attempt='other')
+
+
+def no_attempt(call: Call) -> None:
+    """Answer without saying to which request."""
+    call.read_body()
+    call.answer(b'of another caller', attempt=' ')
+
+
+OK = (200, None)
+UNKNOWN = (502, 'unknown')
+FAULTS = [
+    # fault, idempotent: result and runs, other: result and runs
+    (reset_unread, OK, 1, UNKNOWN, 0),
+    (close_unanswered, OK, 2, UNKNOWN, 1),
+    (cut_head, OK, 2, UNKNOWN, 1),
+    (cut_answer, OK, 2, UNKNOWN, 1),
+    (cut_large_answer, (0, None), 1, (0, None), 1),
+    (shed, OK, 1, OK, 1),
+    (wrong_attempt, OK, 2, UNKNOWN, 1),
+    (no_attempt, OK, 2, UNKNOWN, 1),
+]
+
+
+def fault_cases() -> Iterator[object]:
+    """Give each fault for an idempotent and for another request."""
+    for fault, safe, safe_runs, unsafe, unsafe_runs in FAULTS:
+        name = fault.__name__
+        yield pytest.param('GET', fault, safe, safe_runs, id=f'{name}-GET')
+        yield pytest.param(
+            'POST', fault, unsafe, unsafe_runs, id=f'{name}-POST'
         )
-        entries.append(entry)
-        return entry, HTTPConnection(*entry.open(), timeout=20)
 
-    yield starter
-    for entry in entries:
-        entry.drain(0, 5)
+
+@pytest.mark.parametrize(
+    ('method', 'fault', 'expected', 'runs'), tuple(fault_cases())
+)
+def test_broken_connection(
+    upstream: Upstreams,
+    start: Start,
+    method: str,
+    fault: Script,
+    expected: tuple[int, str | None],
+    runs: int,
+) -> None:
+    """A fault must not make work run twice or give a wrong answer."""
+    faults = Faults(fault)
+    fakes = [upstream(faults) for _ in range(2)]
+    _, address = start(make_view(tuple(fake.address for fake in fakes)))
+    found = call(address, method, '/files/a', b'work')
+    ran = sum(call.body == b'work' for fake in fakes for call in fake.requests)
+    assert ((found.status, found.outcome), ran) == (expected, runs)
+    assert found.status != 200 or found.body == b'work'
 
 
-def test_requests_reach_their_pools(
-    upstreams: list[FakeUpstream],
-    start: Starter,
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+def test_refused_connection(
+    upstream: Upstreams,
+    start: Start,
+    method: str,
 ) -> None:
-    """A request must reach the pool of its route, with key and epoch."""
-    plain, keyed = upstreams
-    _, conn = start(make_view([plain], [keyed]))
-    for path, fake in (('/files/a', plain), ('/orders/k1', keyed)):
-        conn.request('POST', path, body=b'some content')
-        found = conn.getresponse()
-        assert (found.status, found.read()) == (200, b'some content')
-        assert fake.requests[-1].target == path
-    assert keyed.requests[-1].headers['oriolearch-epoch'] == '1'
-    assert 'oriolearch-attempt' not in found.headers
+    """A refused connection is proof of "not sent": another one serves."""
+    closed, fake = upstream(), upstream()
+    closed.close()
+    _, address = start(make_view((closed.address, fake.address)))
+    found = [call(address, method, '/files/a', b'work') for _ in range(2)]
+    assert [result.status for result in found] == [200, 200]
+    assert len(fake.requests) == 2
+
+
+def test_no_upstream_left(upstream: Upstreams, start: Start) -> None:
+    """A request that no connection took must be refused as not run."""
+    closed = upstream()
+    closed.close()
+    _, address = start(make_view((closed.address,)))
+    headers = {'oriolearch-timeout-ms': '300'}
+    found = call(address, 'POST', '/files/a', b'work', headers)
+    assert (found.status >= 502, found.outcome) == (True, 'not-run')
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+def test_late_answer(upstream: Upstreams, start: Start, method: str) -> None:
+    """A deadline must be answered as unknown, and the attempt cancelled."""
+    fake = upstream(hang)
+    _, address = start(make_view((fake.address,)))
+    headers = {'oriolearch-timeout-ms': '200'}
+    found = call(address, method, '/files/a', b'work', headers)
+    assert (found.status, found.outcome) == (504, 'unknown')
+    assert len(fake.requests) == 1
+    assert int(fake.requests[0].headers['oriolearch-deadline-ms']) <= 200
+    wait_until(lambda: fake.cancelled)
+
+
+@pytest.mark.parametrize(
+    ('method', 'expected'),
+    [('GET', OK), ('POST', UNKNOWN)],
+)
+def test_reused_connection_closed(
+    upstream: Upstreams,
+    start: Start,
+    method: str,
+    expected: tuple[int, str | None],
+) -> None:
+    """The close of a reused connection is no proof of "not run"."""
+    first: list[socket.socket] = []
+
+    def script(call: Call) -> None:
+        if first and call.sock is first[0]:
+            call.close()
+            return
+        first.append(call.sock)
+        echo(call)
+
+    fake = upstream(script)
+    _, address = start(make_view((fake.address, fake.address)))
+    assert call(address, 'POST', '/files/a', b'1').status == 200
+    found = [call(address, method, '/files/a', b'2') for _ in range(2)]
+    assert expected in {(result.status, result.outcome) for result in found}
+
+
+def test_stalled_callers_beside_small_requests(
+    upstream: Upstreams,
+    start: Start,
+) -> None:
+    """Stalled uploads and heads must not take the threads of others."""
+    fake = upstream()
+    limits = CallerLimits(threads=2, upload_threads=2, upload_queue=1)
+    _, address = start(make_view((fake.address,)), callers=limits)
+    upload = b'POST /files/a HTTP/1.1\r\nhost: x\r\ncontent-length: 999999\r\n'
+    small = b'POST /files/a HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n'
+    stalled = []
+    for part in (upload + b'\r\n', upload[:20], small, b'GET'):
+        for _ in range(3):
+            stalled.append(socket.create_connection(address))
+            stalled[-1].sendall(part)
+    wait_until(lambda: len(fake.requests) == 2)
+    for number in range(20):
+        body = str(number).encode()
+        assert call(address, 'POST', '/files/b', body).body == body
+    refused = call(address, 'POST', '/files/a', b'x' * 100000)
+    assert refused.status in {0, 503}
+    for sock in stalled:
+        sock.close()
+
+
+def test_slow_head_is_bounded(upstream: Upstreams, start: Start) -> None:
+    """A caller that sends byte by byte must not hold a connection."""
+    limits = CallerLimits(receive_s=0.2)
+    _, address = start(make_view((upstream().address,)), callers=limits)
+    with socket.create_connection(address, timeout=WAIT_S) as sock:
+        answer = b''
+        while not answer:
+            sock.sendall(b'G')
+            sock.settimeout(0.05)
+            try:
+                answer = sock.recv(100)
+            except TimeoutError:
+                continue
+        assert answer.startswith(b'HTTP/1.1 408')
+
+
+@pytest.mark.parametrize('is_upload', [True, False])
+def test_graceful_stop(
+    upstream: Upstreams,
+    start: Start,
+    is_upload: bool,
+) -> None:
+    """A shutdown must not interrupt a request, nor an upload halfway."""
+    release = threading.Event()
+
+    def script(call: Call) -> None:
+        call.read_body()
+        release.wait(WAIT_S)
+        call.answer(str(len(call.body)).encode())
+
+    fake = upstream(script)
+    entry, address = start(make_view((fake.address,)))
+    size = 200000 if is_upload else 2
+    conn = HTTPConnection(*address, timeout=WAIT_S)
+    conn.putrequest('POST', '/files/a')
+    conn.putheader('content-length', str(size))
+    conn.endheaders()
+    conn.send(b'x' * (size // 2 if is_upload else size))
+    wait_until(lambda: fake.requests)
+    assert call(address, 'GET', '/oriolearch/ready').status == 200
+    drain = threading.Thread(target=entry.drain, args=(0.5, WAIT_S))
+    drain.start()
+    wait_until(lambda: entry.server.is_draining)
+    assert call(address, 'GET', '/oriolearch/ready').status == 503
+    wait_until(lambda: not entry.server.ready)
+    if is_upload:
+        conn.send(b'x' * (size // 2))
+    release.set()
+    found = conn.getresponse()
+    assert (found.status, found.read()) == (200, str(size).encode())
+    drain.join(WAIT_S)
+    assert not drain.is_alive()
+    assert call(address, 'GET', '/oriolearch/ready').status == 0
+
+
+def test_stop_is_bounded(upstream: Upstreams, start: Start) -> None:
+    """A request that never ends must not keep a host from stopping."""
+    fake = upstream(hang)
+    entry, address = start(make_view((fake.address,)))
+    with socket.create_connection(address) as sock:
+        sock.sendall(b'POST /files/a HTTP/1.1\r\nhost: x\r\n\r\n')
+        wait_until(lambda: fake.requests)
+        drain = threading.Thread(target=entry.drain, args=(0, 0.1))
+        drain.start()
+        drain.join(WAIT_S)
+        assert not drain.is_alive()
--- a/tests/upstreams.py
+++ b/tests/upstreams.py
@@ -1,8 +1,10 @@
 """A small upstream for tests, with a script of what goes wrong."""
 
 import socket
+import struct
 import threading
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -38,9 +40,10 @@
         body: bytes = b'',
         status: int = 200,
         attempt: str | None = None,
+        cut: int | None = None,
         **headers: str,
     ) -> None:
-        """Send an answer that echoes the attempt."""
+        """Send an answer that echoes the attempt, up to a cut in the body."""
         fields = {
             'oriolearch-attempt': attempt
             or self.headers.get('oriolearch-attempt', ''),
@@ -50,7 +53,20 @@
             fields[name.replace('_', '-')] = text
         lines = ''.join(f'{name}: {fields[name]}\r\n' for name in fields)
         head = f'HTTP/1.1 {status} X\r\n{lines}\r\n'
-        self.sock.sendall(head.encode() + body)
+        self.sock.sendall(head.encode() + body[:cut])
+
+    def close(self) -> None:
+        """End the connection; the stream holds the socket too."""
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+        self.sock.close()
+
+    def reset(self) -> None:
+        """End the connection at once."""
+        linger = struct.pack('ii', 1, 0)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.stream.close()
+        self.sock.close()
 
 
 def echo(call: Call) -> None:
@@ -74,10 +90,14 @@
         self.listener = socket.create_server(('127.0.0.1', 0))
         host, port = self.listener.getsockname()
         self.address = f'{host}:{port}'
-        threading.Thread(target=self._accept, daemon=True).start()
+        self.thread = threading.Thread(target=self._accept, daemon=True)
+        self.thread.start()
 
     def close(self) -> None:
         """Stop to listen and close all connections."""
+        with suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)  # wakes the accept
+        self.thread.join()
         self.listener.close()
         for sock in self.connections:
             sock.close()
