Test framing, routing, streaming and telemetry of the data path

The event for errors of cheroot had a field named message, which the logger refuses; a test writes each event now.

--- a/src/oriolearch/adapters/entry.py
+++ b/src/oriolearch/adapters/entry.py
@@ -281,7 +281,7 @@
             self.on_fatal(error)
 
     def _report_server(self, message: str) -> None:
-        self.telemetry.events.emit(Event.CALLER_ERROR, message=message)
+        self.telemetry.events.emit(Event.CALLER_ERROR, text=message)
 
     def _forget(self, exchange: Exchange, outcome: str) -> None:
         self.dispatcher.close(exchange)
--- a/src/oriolearch/adapters/telemetry.py
+++ b/src/oriolearch/adapters/telemetry.py
@@ -109,7 +109,7 @@
     CALLER_ERROR = EventKind(
         115,
         logging.DEBUG,
-        ('message',),
+        ('text',),
         'A connection of a caller met an error.',
     )
     ATTEMPT_FAILED = EventKind(
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -13,6 +13,7 @@
     Published,
     ServerClock,
 )
+from oriolearch.adapters.telemetry import Telemetry
 from oriolearch.core.messages import AuthorityKey, Segment
 from oriolearch.core.model import (
     Assignment,
@@ -70,6 +71,7 @@
 def make_entry(
     view: View,
     clocks: Mapping[str, ServerClock] | None = None,
+    telemetry: Telemetry | None = None,
     **settings: Any,
 ) -> Entry:
     """Give an entry on a free port, with short waits."""
@@ -78,7 +80,8 @@
         Published(view),
         EntrySettings('a', 'h', **({'moved_wait_s': 0.5} | settings)),
         random.Random(1),
-        clocks=clocks,
+        telemetry,
+        clocks,
     )
 
 
--- a/tests/upstreams.py
+++ b/tests/upstreams.py
@@ -21,6 +21,7 @@
     headers: dict[str, str]
     stream: Any
     body: bytes = b''
+    is_whole: bool = False
 
     def read_body(self) -> None:
         """Read the whole body."""
@@ -34,6 +35,9 @@
         else:
             length = int(self.headers.get('content-length', 0))
             self.body = self.stream.read(length)
+            if len(self.body) < length:
+                raise ValueError('the body ends early')
+        self.is_whole = True
 
     def answer(
         self,
