--- a/src/oriolearch/adapters/upstream.py
+++ b/src/oriolearch/adapters/upstream.py
@@ -233,7 +233,7 @@
         pool: ConnectionPool,
         attempt_id: str,
         deadline: float,
-        before_first_byte: Callable[[], None],
+        before_first_byte: Callable[[], object],
     ) -> None:
         self.pool = pool
         self.attempt_id = attempt_id
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -31,7 +31,7 @@
 def make_attempt(
     pool: ConnectionPool,
     name: str,
-    report: Callable[[], None] = lambda: None,
+    report: Callable[[], object] = bool,
     limit_s: float = WAIT_S,
 ) -> RunningAttempt:
     """Give an attempt with a deadline."""
