Send long answers on threads of their own, and bound slow uploads

A caller that read a long answer slowly held one of the request threads; 128 such callers would have stopped the host. A policy is told of each new document once, by the current view: two threads with different views could set an older pool again.

--- a/src/oriolearch/adapters/dispatch.py
+++ b/src/oriolearch/adapters/dispatch.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterator, Mapping
 from http import HTTPStatus
 
-from oriolearch.adapters.callers import CallerRequest
 from oriolearch.adapters.exchange import (
     AnswerBrokenError,
     CallerGoneError,
@@ -21,6 +20,7 @@
 from oriolearch.adapters.fields import answer_fields, answer_length
 from oriolearch.adapters.framing import PIECE_BYTES, FramingError
 from oriolearch.adapters.problems import RefusedError, refused_by_policy
+from oriolearch.adapters.requests import CallerRequest
 from oriolearch.adapters.telemetry import Event, Telemetry
 from oriolearch.adapters.upstream import (
     ATTEMPT_HEADER,
@@ -81,17 +81,24 @@
         self.gates: dict[str, Gate] = {}
 
     def gate(self, pool: Pool) -> Gate:
-        """Give the policy of a pool, with the pool as it is now."""
+        """Give the policy of a pool, by the current configuration."""
         gate = self.gates.get(pool.name)
         if gate is None:
             gate = self._make_gate(pool)
-        if gate.policy.pool is not pool:
-            self.update(gate, pool, self.published.view.document)
+        document = self.published.view.document
+        if gate.document is not document:
+            self.update(gate, pool.name, document)
         return gate
 
-    def update(self, gate: Gate, pool: Pool, document: Document) -> None:
-        """Hand the configuration and reports of other hosts to a policy."""
+    def update(self, gate: Gate, name: str, document: Document) -> None:
+        """Hand the configuration and reports of other hosts to a policy.
+
+        A pool that was removed keeps its last state for the requests that
+        still run.
+        """
+        pool = document.pools.get(name, gate.policy.pool)
         with gate.lock:
+            gate.document = document
             gate.policy.update(
                 time.monotonic(),
                 pool,
@@ -105,6 +112,8 @@
     def serve(self, exchange: Exchange) -> int:
         """Get an answer and pass it on; gives its status.
 
+        The body of a long answer is left to :meth:`stream`.
+
         :raises RefusedError: when the caller is to get a refusal.
         :raises CallerGoneError: when there is nobody to answer.
         :raises AnswerBrokenError: when the answer cannot be completed.
@@ -123,6 +132,19 @@
         self._deliver(exchange, answer, body)
         return answer.status
 
+    def stream(self, exchange: Exchange) -> int:
+        """Pass on the body of an answer; raises as :meth:`serve` does."""
+        answer = exchange.answer
+        if answer is None:
+            raise AnswerBrokenError
+        exchange.answer = None
+        try:
+            self._stream(exchange, answer)
+            exchange.request.finish()
+        except OSError as error:
+            raise CallerGoneError from error
+        return answer.status
+
     def close(self, exchange: Exchange) -> None:
         """End the ticket of a request with the attempts still running."""
         ticket = exchange.ticket
@@ -507,8 +529,9 @@
                 answer_length(answer, request.head.method),
             )
             if body is None:
-                self._stream(exchange, answer)
-            elif body:
+                exchange.answer = answer
+                return
+            if body:
                 request.send(body)
             request.finish()
         except OSError as error:
--- a/src/oriolearch/adapters/entry.py
+++ b/src/oriolearch/adapters/entry.py
@@ -1,5 +1,6 @@
 """The entry: admits requests of callers and answers them."""
 
+import functools
 import itertools
 import random
 import select
@@ -11,7 +12,7 @@
 from http import HTTPStatus
 from typing import Any
 
-from oriolearch.adapters.callers import CallerRequest, CallerServer
+from oriolearch.adapters.callers import CallerServer
 from oriolearch.adapters.dispatch import Dispatcher
 from oriolearch.adapters.exchange import (
     AnswerBrokenError,
@@ -24,6 +25,7 @@
 from oriolearch.adapters.fields import request_fields
 from oriolearch.adapters.framing import FramingError
 from oriolearch.adapters.problems import RefusedError, problem
+from oriolearch.adapters.requests import CallerRequest
 from oriolearch.adapters.telemetry import (
     Event,
     Telemetry,
@@ -140,7 +142,7 @@
             gate.cold = cold.get(pool.name, {})
             gate.group = group.get(pool.name, {})
             gate.hints = hints.get(pool.name, {})
-            self.dispatcher.update(gate, pool, document)
+            self.dispatcher.update(gate, pool.name, document)
         self.dispatcher.upstreams.keep(
             upstream
             for pool in document.pools.values()
@@ -219,16 +221,22 @@
                 exchange.request.conn.socket.shutdown(socket.SHUT_RDWR)
 
     def refuse(self, request: CallerRequest, error: FramingError) -> None:
-        """Answer a malformed request."""
+        """Answer a request that is malformed or has no place."""
         self.telemetry.events.emit(
-            Event.REQUEST_MALFORMED,
+            Event.CALLER_REFUSED,
             reason=error.reason,
             remote=request.remote_address,
         )
         request.keep_alive = False
+        is_overload = error.status == HTTPStatus.SERVICE_UNAVAILABLE
         _answer_refusal(
             request,
-            RefusedError(error.status, 'malformed', error.reason),
+            RefusedError(
+                error.status,
+                'overload' if is_overload else 'malformed',
+                error.reason,
+                retry_after_s=1 if is_overload else None,
+            ),
         )
 
     def handle(self, request: CallerRequest) -> None:
@@ -241,19 +249,28 @@
         except RefusedError as refusal:
             self._answer_refused(request, refusal, '', '')
             return
-        outcome = _ANSWERED_ERROR
         self.exchanges[exchange.request_id] = exchange
-        try:
-            outcome = self._serve(exchange)
-        finally:
+        outcome = self._run(exchange, self.dispatcher.serve)
+        if exchange.answer is None:
             self._forget(exchange, outcome)
+        else:
+            request.rest = functools.partial(self._finish, exchange)
 
-    def _serve(self, exchange: Exchange) -> str:
-        """Serve an admitted request; gives its outcome for the metrics."""
+    def _finish(self, exchange: Exchange) -> None:
+        """Send the rest of a long answer."""
+        outcome = self._run(exchange, self.dispatcher.stream)
+        self._forget(exchange, outcome)
+
+    def _run(
+        self,
+        exchange: Exchange,
+        step: Callable[[Exchange], int],
+    ) -> str:
+        """Do a step of a request; gives its outcome for the metrics."""
         request = exchange.request
         pool = exchange.pool.name
         try:
-            status = self.dispatcher.serve(exchange)
+            status = step(exchange)
         except RefusedError as refusal:
             request_id = exchange.request_id
             self._answer_refused(request, refusal, request_id, pool)
--- a/src/oriolearch/adapters/exchange.py
+++ b/src/oriolearch/adapters/exchange.py
@@ -5,11 +5,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from oriolearch.adapters.callers import CallerLimits, CallerRequest
+from oriolearch.adapters.callers import CallerLimits
+from oriolearch.adapters.requests import CallerRequest
 from oriolearch.adapters.telemetry import Trace
-from oriolearch.adapters.upstream import Limits, RunningAttempt
+from oriolearch.adapters.upstream import Answer, Limits, RunningAttempt
 from oriolearch.core.errors import OriolearchError
-from oriolearch.core.model import Pool, Route, shortened
+from oriolearch.core.model import Document, Pool, Route, shortened
 from oriolearch.core.policy import Failure, PoolPolicy, Ticket
 from oriolearch.core.view import Owner, View
 
@@ -102,6 +103,7 @@
         self.cold: Mapping[str, str] = {}
         self.group: Mapping[str, int] = {}
         self.hints: Mapping[str, Any] = {}
+        self.document: Document | None = None
 
     def wake(self) -> None:
         """Wake the requests that have a decision now; the lock is held."""
@@ -119,10 +121,12 @@
         its own begins when the body is sent.
     :ivar is_body_used: pieces of an upload were read and are gone.
     :ivar maybe_run: an attempt of an earlier ticket may have run.
+    :ivar answer: an answer whose body is still to be passed on.
     :ivar view: the view by which the running order is sent, with its owner.
     """
 
     __slots__ = (
+        'answer',
         'claim',
         'deadline',
         'gate',
@@ -168,6 +172,7 @@
         self.trace: Trace | None = None
         self.ticket: Ticket | None = None
         self.running: dict[str, RunningAttempt] = {}
+        self.answer: Answer | None = None
         self.wake: threading.Event | None = None
         self.is_gone = False
         self.is_streaming = False
--- a/src/oriolearch/adapters/fields.py
+++ b/src/oriolearch/adapters/fields.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from http import HTTPStatus
 
-from oriolearch.adapters.callers import CallerRequest, Fields
 from oriolearch.adapters.framing import RequestHead
+from oriolearch.adapters.requests import CallerRequest, Fields
 from oriolearch.adapters.upstream import Answer
 
 OWN_FIELDS = 'oriolearch-'
--- a/src/oriolearch/adapters/telemetry.py
+++ b/src/oriolearch/adapters/telemetry.py
@@ -82,11 +82,11 @@
         (),
         'All requests have ended and the entry is closed.',
     )
-    REQUEST_MALFORMED = EventKind(
+    CALLER_REFUSED = EventKind(
         111,
         logging.WARNING,
         ('reason', 'remote'),
-        'A request was refused because it can be read in more than one way.',
+        'A request was refused before it was read: malformed, slow or too many.',
     )
     REQUEST_REFUSED = EventKind(
         112,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 from http.client import HTTPConnection
 
 import pytest
@@ -406,7 +407,7 @@
         body = str(number).encode()
         assert call(address, 'POST', '/files/b', body).body == body
     refused = call(address, 'POST', '/files/a', b'x' * 100000)
-    assert refused.status in {0, 503}
+    assert (refused.status, refused.outcome) == (503, 'not-run')
     for sock in stalled:
         sock.close()
 
@@ -427,6 +428,51 @@
         assert answer.startswith(b'HTTP/1.1 408')
 
 
+def test_slow_upload_is_bounded(upstream: Upstreams, start: Start) -> None:
+    """An upload of a few bytes a second must not hold its thread."""
+    fake = upstream()
+    limits = CallerLimits(stall_s=0.3)
+    entry, address = start(make_view((fake.address,)), callers=limits)
+    with socket.create_connection(address, timeout=WAIT_S) as sock:
+        sock.sendall(
+            b'PUT /files/a HTTP/1.1\r\nhost: x\r\ncontent-length: 99999\r\n\r\n',
+        )
+        wait_until(lambda: entry.exchanges)
+        while entry.exchanges:
+            with suppress(OSError):
+                sock.sendall(b'x')
+            time.sleep(0.02)
+    assert not any(call.is_whole for call in fake.requests)
+
+
+def test_slow_downloads_leave_the_threads(
+    upstream: Upstreams,
+    start: Start,
+) -> None:
+    """Callers that read slowly must not take the threads of others."""
+
+    def script(call: Call) -> None:
+        call.read_body()
+        call.answer(b'x' * (1 if call.body else 30_000_000))
+
+    fake = upstream(script)
+    limits = CallerLimits(threads=1, download_threads=3)
+    entry, address = start(make_view((fake.address,)), callers=limits)
+    slow = [socket.create_connection(address) for _ in range(3)]
+    for sock in slow:
+        sock.sendall(b'GET /files/a HTTP/1.1\r\nhost: x\r\n\r\n')
+    wait_until(
+        lambda: (
+            [exchange.is_streaming for exchange in entry.exchanges.values()]
+            == [True] * 3
+        ),
+    )
+    assert call(address, 'POST', '/files/b', b'small').body == b'x'
+    assert len(entry.exchanges) >= 3
+    for sock in slow:
+        sock.close()
+
+
 @pytest.mark.parametrize('is_upload', [True, False])
 def test_graceful_stop(
     upstream: Upstreams,
