--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(BIN)/pip install -q --no-deps --no-build-isolation -e .
 	touch $@
 
-.PHONY: install demo serve test lint format soak bench capacity proto
+.PHONY: install demo serve test lint format soak bench bench-policy capacity proto
 install: $(STAMP)
 
 demo: $(STAMP)
@@ -28,3 +28,6 @@
 
 format: $(STAMP)
 	$(BIN)/ruff format src tests bench
+
+bench-policy: $(STAMP)
+	PYTHONPATH=. $(BIN)/python -m bench.policy
--- a/src/oriolearch/core/attempts.py
+++ b/src/oriolearch/core/attempts.py
@@ -126,11 +126,14 @@
     :ivar states: what is known of each attempt so far.
     :ivar running: attempts not over yet, in order of sending.
     :ivar settled: it was delivered or refused.
+    :ivar exposed: attempts that were sent and not proven not to have run. It
+        is counted apart from ``states`` so that each verifies the other.
     :ivar closed: nothing of it counts any more.
     """
 
     __slots__ = (
         'closed',
+        'exposed',
         'facts',
         'granted',
         'hedges',
@@ -140,6 +143,7 @@
         'resend_at',
         'running',
         'settled',
+        'settlements',
         'states',
         'submitted',
         'tried',
@@ -158,6 +162,8 @@
         self.resend_at = 0.0
         self.queued = False
         self.settled = False
+        self.settlements = 0
+        self.exposed = 0
         self.closed = False
 
     def may_have_run(self) -> bool:
@@ -178,8 +184,11 @@
         return self.facts.replayable or self._is_unsent()
 
     def open(self, attempt: Attempt) -> None:
-        """Record an attempt that is about to be sent."""
-        if self.states and not self.facts.idempotent and self.may_have_run():
+        """Record an attempt that is about to be sent.
+
+        :raises InvariantError: when the request might run twice.
+        """
+        if not self.facts.idempotent and (self.exposed or self.running):
             raise InvariantError(
                 'at-most-once',
                 f'{self.facts.request_id} may have run: {self.states}',
@@ -188,14 +197,30 @@
         self.running[attempt.attempt_id] = attempt
         self.tried.add(attempt.upstream.name)
 
+    def mark_sent(self, attempt_id: str) -> None:
+        """Record that bytes of an attempt go to the connection."""
+        if self.states[attempt_id] is AttemptState.NOT_SENT:
+            self.states[attempt_id] = AttemptState.MAYBE_RUN
+            self.exposed += 1
+
+    def mark_proven(self, attempt_id: str) -> None:
+        """Record the upstream's proof that an attempt did not run."""
+        if self.states[attempt_id] is not AttemptState.NOT_SENT:
+            self.exposed -= 1
+        self.states[attempt_id] = AttemptState.PROVEN_NOT_RUN
+
     def settle(self) -> None:
-        """Record that the caller gets its answer."""
-        if self.settled:
+        """Record that the caller gets its answer.
+
+        :raises InvariantError: when the caller got one before.
+        """
+        self.settled = True
+        self.settlements += 1
+        if self.settlements > 1:
             raise InvariantError(
                 'single-delivery',
                 f'{self.facts.request_id} was already settled',
             )
-        self.settled = True
 
     def refuse(
         self,
@@ -220,7 +245,8 @@
 
     :raises InvariantError: when an attempt may have run.
     """
-    if refusal.outcome is Outcome.NOT_RUN and ticket.may_have_run():
+    is_exposed = ticket.exposed or ticket.running
+    if refusal.outcome is Outcome.NOT_RUN and is_exposed:
         raise InvariantError(
             'true-not-run',
             f'{ticket.facts.request_id} may have run: {ticket.states}',
