--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(BIN)/pip install -q --no-deps --no-build-isolation -e .
 	touch $@
 
-.PHONY: install demo serve test lint format soak bench bench-datapath capacity proto
+.PHONY: install demo serve test lint format soak bench bench-datapath bench-policy capacity proto
 install: $(STAMP)
 
 demo: $(STAMP)
@@ -31,3 +31,6 @@
 
 bench-datapath: $(STAMP)
 	$(BIN)/python -m bench.datapath
+
+bench-policy: $(STAMP)
+	PYTHONPATH=. $(BIN)/python -m bench.policy
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -463,8 +463,8 @@
         sock.sendall(b'GET /files/a HTTP/1.1\r\nhost: x\r\n\r\n')
     wait_until(
         lambda: (
-            [exchange.is_streaming for exchange in entry.exchanges.values()]
-            == [True] * 3
+            len(entry.exchanges) == 3
+            and all(found.is_streaming for found in entry.exchanges.values())
         ),
     )
     assert call(address, 'POST', '/files/b', b'small').body == b'x'
