--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,16 @@
 
 bench-policy: $(STAMP)
 	PYTHONPATH=. $(BIN)/python -m bench.policy
+
+PROTO := src/oriolearch/adapters/peer.proto
+proto: $(STAMP)
+	PATH=$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc -Isrc --python_out=src \
+		--pyi_out=src --grpclib_python_out=src $(PROTO)
+
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity
+
+SEED ?= 1
+STEPS ?= 200
+soak: $(STAMP)
+	$(BIN)/python -m oriolearch.soak --seed $(SEED) --steps $(STEPS)
