--- a/src/oriolearch/adapters/callers.py
+++ b/src/oriolearch/adapters/callers.py
@@ -63,6 +63,8 @@
     :ivar request: a request that has not arrived completely, or an upload
         that waits for its thread.
     :ivar answering: a request whose answer is to be continued.
+    :ivar noticed: when the bytes of a request were first seen; its time in
+        the queue for a thread counts towards its deadline.
     :ivar discard_until: what arrives until then is thrown away; 0 if not.
     """
 
@@ -82,6 +84,7 @@
         self.answering: CallerRequest | None = None
         self.discard_until = 0.0
         self.began = 0.0
+        self.noticed = 0.0
         self.is_new = True
         server.connections.add(self)
 
@@ -168,7 +171,7 @@
         while self.request is None:
             head = self.rfile.take_head()
             if head is not None:
-                began = self.began or time.monotonic()
+                began = self.began or self.noticed
                 self.request = CallerRequest(self, parse_head(head), began)
             elif not self._fill():
                 return not self.rfile.is_ended
@@ -186,7 +189,7 @@
         has_more = self.rfile.fill()
         if self.is_partial:
             now = time.monotonic()
-            self.began = self.began or now
+            self.began = self.began or self.noticed
             if now - self.began > self.server.limits.receive_s:
                 raise FramingError(
                     HTTPStatus.REQUEST_TIMEOUT,
@@ -325,6 +328,7 @@
                 conn.refuse(_overloaded('connections'))
                 conn.close()
                 return
+        conn.noticed = time.monotonic()
         self.requests.put(conn)
 
     def put_conn(self, conn: CallerConnection) -> None:
--- a/src/oriolearch/adapters/entry.py
+++ b/src/oriolearch/adapters/entry.py
@@ -3,6 +3,7 @@
 import functools
 import itertools
 import random
+import re
 import select
 import socket
 import threading
@@ -48,6 +49,7 @@
 TIMEOUT_HEADER = 'oriolearch-timeout-ms'
 KEY_HEADER = 'idempotency-key'
 
+_MILLIS = re.compile('0*[1-9][0-9]{0,9}')
 _ANSWERED_OK = 'ok'
 _ANSWERED_ERROR = 'error'
 
@@ -249,6 +251,10 @@
         except RefusedError as refusal:
             self._answer_refused(request, refusal, '', '')
             return
+        except Exception as error:
+            self._report_error(error)
+            _answer_refusal(request, _unexpected(maybe_run=False))
+            return
         self.exchanges[exchange.request_id] = exchange
         outcome = self._run(exchange, self.dispatcher.serve)
         if exchange.answer is None:
@@ -279,7 +285,7 @@
             return error.outcome
         except Exception as error:
             self._report_error(error)
-            _answer_refusal(request, _unexpected())
+            _answer_refusal(request, _unexpected(maybe_run=True))
             return _ANSWERED_ERROR
         is_error = status >= HTTPStatus.INTERNAL_SERVER_ERROR
         return _ANSWERED_ERROR if is_error else _ANSWERED_OK
@@ -367,9 +373,9 @@
         exchange.is_limited = not request.is_upload or given is not None
         exchange.key = key
         exchange.headers = request_fields(request)
-        exchange.trace = self.telemetry.tracing.begin(head.headers)
         if KEY_HEADER in head.headers:
             self._claim(exchange, (pool.name, head.headers[KEY_HEADER]))
+        exchange.trace = self.telemetry.tracing.begin(head.headers)
         return exchange
 
     def _route(self, request: CallerRequest) -> tuple[Route, Pool, str | None]:
@@ -430,7 +436,7 @@
 def _timeout_s(given: str | None, limit_s: float) -> float:
     if given is None:
         return limit_s
-    if not (given.isascii() and given.isdecimal() and int(given)):
+    if not _MILLIS.fullmatch(given):
         raise RefusedError(
             HTTPStatus.BAD_REQUEST,
             'bad-timeout',
@@ -454,12 +460,12 @@
     return RefusedError(HTTPStatus.NOT_FOUND, 'no-route', str(error))
 
 
-def _unexpected() -> RefusedError:
+def _unexpected(maybe_run: bool) -> RefusedError:
     return RefusedError(
         HTTPStatus.INTERNAL_SERVER_ERROR,
         'internal',
         'the router met an error',
-        maybe_run=True,
+        maybe_run,
     )
 
 
--- a/src/oriolearch/adapters/framing.py
+++ b/src/oriolearch/adapters/framing.py
@@ -149,6 +149,8 @@
     if match is None:
         raise bad_request('the request target is not a path')
     host, rest = match.groups()
+    if not _HOST.fullmatch(host):
+        raise bad_request('malformed authority')
     headers['host'] = host
     kept = [found for found in fields if found[0] != 'host']
     fields.clear()
--- a/src/oriolearch/adapters/upstream.py
+++ b/src/oriolearch/adapters/upstream.py
@@ -149,6 +149,16 @@
         with self.lock:
             self.open_count -= 1
 
+    def reap(self) -> None:
+        """Close the connections that were unused for too long."""
+        oldest = time.monotonic() - self.limits.idle_s
+        with self.lock:
+            stale = [conn for conn in self.idle if conn.idle_since < oldest]
+            self.idle = [conn for conn in self.idle if conn not in stale]
+            self.open_count -= len(stale)
+        for conn in stale:
+            conn.close()
+
     def close(self) -> None:
         """Close the unused connections, and the others after their use."""
         self.is_closed = True
@@ -471,8 +481,14 @@
         order = Order('POST', f'/cancel/{attempt_id}', headers, None)
         try:
             conn.send_order(order, self.timeout_s)
-            conn.read_head(self.timeout_s)
-        finally:
+            answer = conn.read_head(self.timeout_s)
+            answer.read(PIECE_BYTES)
+            is_whole = answer.isclosed()
+        except BROKEN:
+            is_whole = False
+        if is_whole:
+            pool.put_back(conn)
+        else:
             pool.drop(conn)
 
 
@@ -497,13 +513,15 @@
         return pool
 
     def keep(self, wanted: Iterable[Upstream]) -> None:
-        """Close the unused connections of all other upstreams."""
+        """Close the connections to other upstreams, and those long unused."""
         kept = set(wanted)
         with self.lock:
             gone = [up for up in self.pools if up not in kept]
             pools = [self.pools.pop(up) for up in gone]
         for pool in pools:
             pool.close()
+        for pool in tuple(self.pools.values()):
+            pool.reap()
 
     def close(self) -> None:
         """Close all unused connections and end the cancellations."""
