--- a/src/oriolearch/adapters/entry.py
+++ b/src/oriolearch/adapters/entry.py
@@ -1,7 +1,9 @@
 """The entry: admits requests of callers and answers them."""
 
+import functools
 import itertools
 import random
+import re
 import select
 import socket
 import threading
@@ -11,7 +13,7 @@
 from http import HTTPStatus
 from typing import Any
 
-from oriolearch.adapters.callers import CallerRequest, CallerServer
+from oriolearch.adapters.callers import CallerServer
 from oriolearch.adapters.dispatch import Dispatcher
 from oriolearch.adapters.exchange import (
     AnswerBrokenError,
@@ -24,6 +26,7 @@
 from oriolearch.adapters.fields import request_fields
 from oriolearch.adapters.framing import FramingError
 from oriolearch.adapters.problems import RefusedError, problem
+from oriolearch.adapters.requests import CallerRequest
 from oriolearch.adapters.telemetry import (
     Event,
     Telemetry,
@@ -46,6 +49,7 @@
 TIMEOUT_HEADER = 'oriolearch-timeout-ms'
 KEY_HEADER = 'idempotency-key'
 
+_MILLIS = re.compile('0*[1-9][0-9]{0,9}')
 _ANSWERED_OK = 'ok'
 _ANSWERED_ERROR = 'error'
 
@@ -140,7 +144,7 @@
             gate.cold = cold.get(pool.name, {})
             gate.group = group.get(pool.name, {})
             gate.hints = hints.get(pool.name, {})
-            self.dispatcher.update(gate, pool, document)
+            self.dispatcher.update(gate, pool.name, document)
         self.dispatcher.upstreams.keep(
             upstream
             for pool in document.pools.values()
@@ -219,16 +223,22 @@
                 exchange.request.conn.socket.shutdown(socket.SHUT_RDWR)
 
     def refuse(self, request: CallerRequest, error: FramingError) -> None:
-        """Answer a malformed request."""
+        """Answer a request that is malformed or has no place."""
         self.telemetry.events.emit(
-            Event.REQUEST_MALFORMED,
+            Event.CALLER_REFUSED,
             reason=error.reason,
             remote=request.remote_address,
         )
         request.keep_alive = False
+        is_overload = error.status == HTTPStatus.SERVICE_UNAVAILABLE
         _answer_refusal(
             request,
-            RefusedError(error.status, 'malformed', error.reason),
+            RefusedError(
+                error.status,
+                'overload' if is_overload else 'malformed',
+                error.reason,
+                retry_after_s=1 if is_overload else None,
+            ),
         )
 
     def handle(self, request: CallerRequest) -> None:
@@ -241,19 +251,32 @@
         except RefusedError as refusal:
             self._answer_refused(request, refusal, '', '')
             return
-        outcome = _ANSWERED_ERROR
+        except Exception as error:
+            self._report_error(error)
+            _answer_refusal(request, _unexpected(maybe_run=False))
+            return
         self.exchanges[exchange.request_id] = exchange
-        try:
-            outcome = self._serve(exchange)
-        finally:
+        outcome = self._run(exchange, self.dispatcher.serve)
+        if exchange.answer is None:
             self._forget(exchange, outcome)
+        else:
+            request.rest = functools.partial(self._finish, exchange)
+
+    def _finish(self, exchange: Exchange) -> None:
+        """Send the rest of a long answer."""
+        outcome = self._run(exchange, self.dispatcher.stream)
+        self._forget(exchange, outcome)
 
-    def _serve(self, exchange: Exchange) -> str:
-        """Serve an admitted request; gives its outcome for the metrics."""
+    def _run(
+        self,
+        exchange: Exchange,
+        step: Callable[[Exchange], int],
+    ) -> str:
+        """Do a step of a request; gives its outcome for the metrics."""
         request = exchange.request
         pool = exchange.pool.name
         try:
-            status = self.dispatcher.serve(exchange)
+            status = step(exchange)
         except RefusedError as refusal:
             request_id = exchange.request_id
             self._answer_refused(request, refusal, request_id, pool)
@@ -262,7 +285,7 @@
             return error.outcome
         except Exception as error:
             self._report_error(error)
-            _answer_refusal(request, _unexpected())
+            _answer_refusal(request, _unexpected(maybe_run=True))
             return _ANSWERED_ERROR
         is_error = status >= HTTPStatus.INTERNAL_SERVER_ERROR
         return _ANSWERED_ERROR if is_error else _ANSWERED_OK
@@ -281,7 +304,7 @@
             self.on_fatal(error)
 
     def _report_server(self, message: str) -> None:
-        self.telemetry.events.emit(Event.CALLER_ERROR, message=message)
+        self.telemetry.events.emit(Event.CALLER_ERROR, text=message)
 
     def _forget(self, exchange: Exchange, outcome: str) -> None:
         self.dispatcher.close(exchange)
@@ -350,9 +373,9 @@
         exchange.is_limited = not request.is_upload or given is not None
         exchange.key = key
         exchange.headers = request_fields(request)
-        exchange.trace = self.telemetry.tracing.begin(head.headers)
         if KEY_HEADER in head.headers:
             self._claim(exchange, (pool.name, head.headers[KEY_HEADER]))
+        exchange.trace = self.telemetry.tracing.begin(head.headers)
         return exchange
 
     def _route(self, request: CallerRequest) -> tuple[Route, Pool, str | None]:
@@ -413,7 +436,7 @@
 def _timeout_s(given: str | None, limit_s: float) -> float:
     if given is None:
         return limit_s
-    if not (given.isascii() and given.isdecimal() and int(given)):
+    if not _MILLIS.fullmatch(given):
         raise RefusedError(
             HTTPStatus.BAD_REQUEST,
             'bad-timeout',
@@ -437,12 +460,12 @@
     return RefusedError(HTTPStatus.NOT_FOUND, 'no-route', str(error))
 
 
-def _unexpected() -> RefusedError:
+def _unexpected(maybe_run: bool) -> RefusedError:
     return RefusedError(
         HTTPStatus.INTERNAL_SERVER_ERROR,
         'internal',
         'the router met an error',
-        maybe_run=True,
+        maybe_run,
     )
 
 
