--- a/src/oriolearch/control.py
+++ b/src/oriolearch/control.py
@@ -156,6 +156,7 @@
         self.parent_heard = clock.monotonic() - PARENT_PATIENCE_S
         self.is_leaving = False
         self.stated = 0.0
+        self.was_root = False
         self.depth = 1  # levels of the sync tree above this host
         self.since: dict[HostRef, float] = {}
         self.tasks: list[asyncio.Task[None]] = []
@@ -337,12 +338,15 @@
         now: float,
     ) -> SyncAnswer:
         """Give what this host says as the coordinator of what it holds."""
-        if self._is_root(held):
-            self.membership.expect(self._zone_members(), now)
+        is_root = self._is_root(held)
+        if is_root:
+            if not self.was_root:
+                self.membership.expect(self._zone_members(), now)
             self.membership.hear(self.own, now, self.is_leaving)
             members = self.membership.live(now)
         else:
             members = self._zone_members() or (self.own,)
+        self.was_root = is_root
         self.charges.update(members)
         reports = self.keeper.children.reports(
             self.keeper.own_state.reports,
--- a/src/oriolearch/demo.py
+++ b/src/oriolearch/demo.py
@@ -29,7 +29,8 @@
 STEADY_S = 4.0
 SETTLE_S = 3.0
 LOSS_LIMIT_S = 15.0
-PROBE_TIMEOUT_MS = 250
+PROBE_TIMEOUT_MS = 100
+PROBED_KEYS = 6  # asked for one after the other, so few
 KEYS = 200
 POOLS = ('orders', 'stock', 'files')
 OUTCOME_HEADER = 'oriolearch-outcome'
@@ -158,12 +159,12 @@
 
 
 def unserved_s(cluster: Cluster, pool: str, keys: set[str]) -> float:
-    """Ask for keys until each was answered; give the seconds that it took.
+    """Ask for some keys until each was answered; give the seconds it took.
 
     :raises NotReadyError: when a key is not served in time.
     """
     http = urllib3.PoolManager(retries=False, timeout=REQUEST_TIMEOUT_S)
-    waiting = sorted(keys)
+    waiting = sorted(keys)[:PROBED_KEYS]
     headers = {'oriolearch-timeout-ms': str(PROBE_TIMEOUT_MS)}
     began = time.monotonic()
     while waiting and time.monotonic() < began + LOSS_LIMIT_S:
@@ -258,26 +259,37 @@
     steady = len(load.calls)
     _print('Steady', table(load.calls[:steady]))
     server = cluster.servers['order-a1']
-    keys = set(server.standin.ledger)
+    keys = _keys_of(cluster, server.name)
     server.standin.stop()
     lost_s = unserved_s(cluster, 'orders', keys)
     pause.wait(SETTLE_S)
     after_server = len(load.calls)
     _print('Keyed server order-a1 lost', table(load.calls[steady:after_server]))
-    print(f'its {len(keys)} keys were all served again after {lost_s:.2f} s')
+    print(f'{PROBED_KEYS} of its keys were served again after {lost_s:.2f} s')
     cluster.kill_host('a1')
-    every = {f'k{number}' for number in range(KEYS)}
-    lost_s = unserved_s(cluster, 'orders', every)
+    lost_s = unserved_s(cluster, 'orders', _keys_of(cluster, 'order-a2'))
     pause.wait(SETTLE_S)
     load.stop()
     _print('Host a1 (a coordinator) lost', table(load.calls[after_server:]))
-    print(f'all {KEYS} keys of the pool were answered in {lost_s:.2f} s')
+    print(f'{PROBED_KEYS} keys of its zone were answered within {lost_s:.2f} s')
     _print('Work by server', owner_table(cluster))
     print(f'platform: {cluster.platform.counts["reads"]} reads,', end=' ')
     print(f'{cluster.platform.counts["writes"]} writes')
     return list(faults(cluster, load.calls))
 
 
+def _keys_of(cluster: Cluster, name: str) -> set[str]:
+    """Give the keys that a server owns now, of those asked for so far."""
+    view = cluster.hosts['b1'].published.view
+    pool = view.document.pools[cluster.servers[name].pool]
+    owned = set()
+    for number in range(KEYS):
+        owner = view.owner(pool, f'k{number}')
+        if owner is not None and owner.assignment.owner == name:
+            owned.add(f'k{number}')
+    return owned
+
+
 def _print(title: str, lines: Iterable[str]) -> None:
     print(f'\n{title}')
     for line in lines:
