--- a/src/oriolearch/core/messages.py
+++ b/src/oriolearch/core/messages.py
@@ -109,9 +109,12 @@
     """What a renewer knows of one server.
 
     :param confirmed_version: version of the list that the server holds.
-    :param stopped: the renewer sends no further renewals.
-    :param ends_in_s: no grant that this renewer gave lasts longer.
+    :param stopped: the renewer sends no further renewals of ``version``.
+    :param ends_in_s: no grant that this renewer gave under an earlier
+        version, and when it has stopped none at all, lasts longer.
     :param failures: renewals in a row without an answer.
+    :param version: newest mandate that the renewer holds; it never again
+        sends a list of an earlier one.
     """
 
     authority: AuthorityKey
@@ -122,6 +125,7 @@
     stopped: bool
     ends_in_s: float
     failures: int = 0
+    version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/oriolearch/deliberate.py
+++ b/src/oriolearch/deliberate.py
@@ -3,6 +3,7 @@
 Nothing but the soak driver and the tests imports this module.
 """
 
+import math
 from dataclasses import replace
 
 from oriolearch.core.authority import (
@@ -15,8 +16,18 @@
     Rows,
     StoreEvent,
 )
+from oriolearch.core.coordinator import Coordinator
+from oriolearch.core.grants import (
+    Granter,
+    Renewer,
+    RenewerEffect,
+    SendGrant,
+    ServerKey,
+)
+from oriolearch.core.messages import Mandate
 from oriolearch.core.rows import Unresolved
 from oriolearch.simulated import Strategy
+from oriolearch.simulated_servers import KeyedServer, Reply
 
 
 class _PromisesWhileUnresolved(AuthorityTaker):
@@ -78,6 +89,61 @@
         return super().handle(event, now)
 
 
+class _SkipsTakeoverWait(Granter):
+    """Moves shards although grants of the last term may run (G3)."""
+
+    def takeover_wait_s(self) -> float:
+        return 0
+
+
+class _ForgetsMandates(Granter):
+    """Gives a shard away without waiting for earlier grants (G2)."""
+
+    def is_over(self, server: ServerKey, version: int, now: float) -> bool:
+        return now >= self.began + self.takeover_wait_s()
+
+
+class _IgnoresPermits(Granter):
+    """Publishes a new owner while permits for the old one run (G4)."""
+
+    def is_drained(self, withdrawn: float, limit_s: float, now: float) -> bool:
+        return True
+
+
+class _RenewsForever(Renewer):
+    """Renews after the mandate has ended."""
+
+    def charge(self, mandate: Mandate, asked: float) -> None:
+        super().charge(mandate, asked)
+        self.mandate_end = math.inf
+
+
+class _IgnoresIncarnation(KeyedServer):
+    """Takes a grant that was meant for an earlier run of the server.
+
+    The server protocol of the first design page had no incarnation in it.
+    """
+
+    def receive(
+        self,
+        effect: RenewerEffect,
+        sent: float,
+        reply: Reply,
+    ) -> None:
+        if isinstance(effect, SendGrant):
+            effect = replace(effect, incarnation=self.incarnation)
+        super().receive(effect, sent, reply)
+
+
+def _granter(granter: type[Granter]) -> Strategy:
+    faulty = type(
+        'FaultyCoordinator',
+        (Coordinator,),
+        {'granter_type': granter},
+    )
+    return Strategy(coordinator=faulty)
+
+
 def _authority(
     taker: type[AuthorityTaker] = AuthorityTaker,
     holder: type[AuthorityHolder] = AuthorityHolder,
@@ -98,4 +164,9 @@
     'ignore-margin': _authority(_WatchesTooBriefly, _HoldsTooLong),
     'count-from-answer': _authority(holder=_CountsFromAnswer),
     'trust-lost-answer': Strategy(authority=_TrustsLostAnswers),
+    'skip-takeover-wait': _granter(_SkipsTakeoverWait),
+    'forget-mandates': _granter(_ForgetsMandates),
+    'ignore-permits': _granter(_IgnoresPermits),
+    'renew-forever': Strategy(renewer=_RenewsForever),
+    'ignore-incarnation': Strategy(server=_IgnoresIncarnation),
 }
--- a/src/oriolearch/simulation.py
+++ b/src/oriolearch/simulation.py
@@ -7,6 +7,7 @@
 import heapq
 import itertools
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
@@ -101,7 +102,7 @@
 
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str], StoredRow] = {}
-        self.writes = 0
+        self.write_counts: Counter[str] = Counter()
 
     def read(self, table: str, key: str) -> StoredRow:
         """Read one row."""
@@ -121,6 +122,7 @@
                 return None
         versions = []
         for write in commit.writes:
+            self.write_counts[write.table] += 1
             old = self.read(write.table, write.key)
             self._check(old, write.row)
             self.rows[write.table, write.key] = StoredRow(
@@ -128,7 +130,6 @@
                 write.row,
             )
             versions.append(old.version + 1)
-            self.writes += 1
         return tuple(versions)
 
     def _check(self, old: StoredRow, new: Any) -> None:
--- a/src/oriolearch/soak.py
+++ b/src/oriolearch/soak.py
@@ -9,21 +9,24 @@
 import hashlib
 import random
 import sys
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, replace
 from types import MappingProxyType
 
 from oriolearch.core.errors import InvariantError
 from oriolearch.core.messages import AuthorityKey
-from oriolearch.core.model import HostRef
+from oriolearch.core.model import SHARDS_PER_SEGMENT, HostRef, Pool
+from oriolearch.core.segments import SegmentKey
 from oriolearch.deliberate import STRATEGIES
-from oriolearch.simulated import Cluster, HostProcess, Strategy
+from oriolearch.simulated import Cluster, HostProcess, Strategy, make_document
+from oriolearch.simulated_servers import KeyedServer, Owners
 from oriolearch.simulation import Simulation
 
 ZONES = ('a', 'b', 'c')
 HOSTS_PER_ZONE = 3
 WARM_UP_S = 3.0
-RECOVERY_S = 12.0
+RECOVERY_S = 5.0
+RECOVERY_STEP_S = 0.1
 SHRINK_RUNS = 150
 
 
@@ -54,7 +57,13 @@
         'table_slow': ('table_slow_s', True),
     },
 )
+SERVER_KINDS = (
+    *('freeze', 'thaw', 'thaw', 'kill_server', 'start_server', 'start_server'),
+    *('zone_out', 'zone_in', 'zone_in', 'server_out', 'server_in'),
+    *('remove', 'add', 'add'),
+)
 KINDS = (
+    *SERVER_KINDS,
     *('pause', 'pause', 'resume', 'resume', 'kill', 'start', 'start', 'stop'),
     *('cut', 'isolate', 'join', 'join', 'table_cut', 'table_join'),
     *('table_down', 'table_up', 'table_up', 'table_slow'),
@@ -67,12 +76,19 @@
     """Draw the steps of a trace."""
     rng = random.Random(seed)
     hosts = [f'{zone}{num}' for zone in ZONES for num in range(HOSTS_PER_ZONE)]
+    servers = [
+        upstream.name
+        for pool in make_document(ZONES).pools.values()
+        for upstream in pool.upstreams
+    ]
     steps = []
     for _ in range(count):
         kind = rng.choice(kinds)
         target = rng.choice(hosts)
         if kind in {'cut', 'isolate', 'join', 'table_cut', 'table_join'}:
             target = '-'.join(rng.sample(ZONES, 2))
+        elif kind in SERVER_KINDS:
+            target = rng.choice(servers)
         steps.append(
             Step(
                 kind,
@@ -92,6 +108,8 @@
     def __init__(self, strategy: Strategy) -> None:
         self.world = Simulation()
         self.cluster = Cluster(self.world, ZONES, HOSTS_PER_ZONE, strategy)
+        self.host_names = sorted(self.cluster.hosts)
+        self.recovered_s = 0.0
         self.digest = hashlib.blake2b(digest_size=8)
         self.terms: dict[AuthorityKey, int] = {}
         # End of each authority in true time, by the process that has it.
@@ -111,9 +129,9 @@
             self.advance(step.duration_s)
         self.step_number = len(steps)
         self.heal()
-        self.advance(RECOVERY_S)
-        self.check_liveness()
-        return self.digest.hexdigest()
+        self.recover()
+        seconds = f'{self.recovered_s:.1f}'
+        return f'trace {self.digest.hexdigest()}, recovered in {seconds} s'
 
     def advance(self, duration_s: float) -> None:
         """Let true time pass."""
@@ -146,11 +164,61 @@
             'cut': self.cut,
             'isolate': self.isolate,
             'join': self.join,
+            'freeze': self.freeze,
+            'thaw': lambda name: self.server(name).thaw(),
+            'kill_server': lambda name: self.server(name).kill(),
+            'start_server': self.start_server,
             'table_cut': lambda zones: weather.table_cuts.add(zones[0]),
             'table_join': lambda zones: weather.table_cuts.discard(zones[0]),
         }
         if step.kind in handlers:
             handlers[step.kind](step.target)
+        elif step.kind in SERVER_KINDS:
+            self.edit(step.kind, step.target)
+
+    def server(self, name: str) -> KeyedServer:
+        """Find a server by its name."""
+        return self.cluster.servers[name.split('-')[0], name]
+
+    def freeze(self, name: str) -> None:
+        """Suspend a server without its notice."""
+        self.server(name).is_frozen = True
+
+    def start_server(self, name: str) -> None:
+        """Restart a server that was lost."""
+        if not self.server(name).is_alive:
+            self.server(name).restart()
+
+    def edit(self, kind: str, name: str) -> None:
+        """Change the configuration on some host."""
+        old = self.cluster.document
+        zone = self.server(name).zone
+        zones = old.zones_out - {zone}
+        hosts = old.hosts_out - {name}
+        pools = dict(old.pools)
+        if kind == 'zone_out':
+            zones |= {zone}
+        elif kind == 'server_out':
+            hosts |= {name}
+        elif kind in {'remove', 'add'}:
+            pool = pools[self.server(name).pool]
+            pools[pool.name] = self.edited(pool, name, kind)
+        document = replace(
+            old,
+            pools=MappingProxyType(pools),
+            zones_out=zones if kind.startswith('zone') else old.zones_out,
+            hosts_out=hosts if kind.startswith('server') else old.hosts_out,
+        )
+        self.cluster.edit(document, self.world.rng.choice(self.host_names))
+
+    def edited(self, pool: Pool, name: str, kind: str) -> Pool:
+        """Give a pool without a server, or with it again."""
+        original = make_document(ZONES).pools[pool.name]
+        names = {upstream.name for upstream in pool.upstreams} - {name}
+        if kind == 'add':
+            names.add(name)
+        kept = [one for one in original.upstreams if one.name in names]
+        return replace(pool, upstreams=tuple(kept))
 
     def cut(self, zones: str) -> None:
         """Cut two zones from each other."""
@@ -187,9 +255,15 @@
         self.world.weather.table_down = 0.0
         self.world.weather.cuts.clear()
         self.world.weather.table_cuts.clear()
-        for name in sorted(self.cluster.hosts):
+        for name in self.host_names:
             self.cluster.hosts[name].resume()
             self.cluster.start(name)
+        for server in self.cluster.servers.values():
+            server.thaw()
+            if not server.is_alive:
+                server.restart()
+        document = make_document(ZONES)
+        self.cluster.edit(document, self.world.rng.choice(self.host_names))
 
     def check(self) -> None:
         """Assert the invariants of the process that has just acted."""
@@ -224,17 +298,53 @@
         host = self.cluster.hosts[ref.host]
         return host.ref == ref and host.is_alive
 
-    def check_liveness(self) -> None:
-        """Assert that every authority has a holder after all faults."""
-        held = {
-            key
-            for host in self.cluster.hosts.values()
-            for key, authority in host.authorities.items()
-            if host.is_alive and authority.is_valid(host.clock())
+    def recover(self) -> None:
+        """Assert that every shard is served within the bound."""
+        healed = self.world.now
+        missing = self.all_shards()
+        while missing:
+            self.advance(RECOVERY_STEP_S)
+            missing -= self.served()
+            self.recovered_s = self.world.now - healed
+            if missing and self.recovered_s > RECOVERY_S:
+                some = sorted(missing)[:3]
+                detail = f'{len(missing)} shards, for example {some}'
+                raise InvariantError('liveness', detail)
+
+    def all_shards(self) -> set[tuple[str, int]]:
+        """Give all shards of all pools."""
+        return {
+            (pool.name, shard)
+            for pool in self.cluster.document.pools.values()
+            for shard in range(pool.shard_count)
         }
-        missing = sorted(set(self.cluster.keys()) - held)
-        if missing:
-            raise InvariantError('authority-liveness', repr(missing))
+
+    def served(self) -> set[tuple[str, int]]:
+        """Give the shards that some server may run orders for now."""
+        served: set[tuple[str, int]] = set()
+        ledger = self.cluster.ledger
+        for (pool, name), server in self.cluster.servers.items():
+            _, end = ledger.grants[pool][name]
+            is_working = server.is_alive and not server.is_frozen
+            if end > self.world.now and is_working:
+                served.update((pool, shard) for shard in server.shards)
+        for key, routed in ledger.served.items():
+            for owners, end in routed.items():
+                if end > self.world.now:
+                    served.update(self._routed(key, owners))
+        return served
+
+    def _routed(
+        self,
+        key: SegmentKey,
+        owners: Owners,
+    ) -> Iterator[tuple[str, int]]:
+        for number, owner in enumerate(owners):
+            if owner is None:
+                continue
+            server = self.server(owner)
+            if server.is_alive and not server.is_frozen:
+                yield key[0], key[1] * SHARDS_PER_SEGMENT + number
 
 
 @dataclass(frozen=True, slots=True)
@@ -296,7 +406,7 @@
     steps = generate(options.seed, options.steps)
     outcome = attempt(steps, strategy)
     if isinstance(outcome, str):
-        print(f'seed {options.seed}: {options.steps} steps, trace {outcome}')
+        print(f'seed {options.seed}: {options.steps} steps, {outcome}')
         return 0
     print(f'seed {options.seed}: step {outcome.step}: {outcome.error}')
     for step in shrink(steps, outcome, strategy):
