--- a/src/oriolearch/authorities.py
+++ b/src/oriolearch/authorities.py
@@ -270,12 +270,12 @@
                 yield AuthorityKey(zone, Mobility.MOVABLE)
 
     def _machine(self, key: AuthorityKey) -> Authority:
-        is_creator = key.zone == self.own.zone
+        is_home = key.zone == self.own.zone
         return Authority(
             key,
             self.own.ref,
             self._nonce,
-            is_creator=is_creator,
+            is_home=is_home,
         )
 
     def _nonce(self) -> str:
--- a/src/oriolearch/core/coordinator.py
+++ b/src/oriolearch/core/coordinator.py
@@ -357,12 +357,12 @@
         server = term.servers.get((report.pool, report.server))
         if server is None or server.renewer != host:
             return
-        was_working = server.has_answered and not server.is_lost
+        was = server.has_answered, server.is_lost
         if report.failures >= MAX_FAILURES:
             server.is_lost = True
         elif report.mandate_version == server.version and not report.failures:
             server.take(report)
-        if was_working != (server.has_answered and not server.is_lost):
+        if was != (server.has_answered, server.is_lost):
             term.is_dirty = True
 
     def share(
@@ -471,6 +471,7 @@
         if segment.home != self.key:
             # Its coordinator may have read the table before it was handed.
             term.handed[key] = segment.home
+            term.hinted = 0
         kept[key] = _Held(segment, term.number)
 
     def _forget_releases(
@@ -507,10 +508,11 @@
             for upstream in pool.upstreams
             if upstream.zone == self.key.zone
         }
+        # The loss of the coordinator should not end the renewals as well.
+        others = [ref for ref in self.members if ref != self.authority.ref]
         for name in sorted(names):
             server = term.servers.setdefault(name, _Server())
-            if server.renewer not in self.members:
-                server.renewer = rendezvous(self.members, name[1])
+            server.renewer = rendezvous(others or self.members, name[1])
 
     def _target_zone(
         self,
@@ -676,9 +678,14 @@
                     version=versions.get(release.owner, 0),
                 )
 
-    def _is_free(self, term: _Term, pool: Pool, shard: int, now: float) -> bool:
-        release = term.releases.get((pool.name, shard))
-        if release is None or release.version is None:
+    def _is_free(
+        self,
+        term: _Term,
+        pool: Pool,
+        release: _Release,
+        now: float,
+    ) -> bool:
+        if release.version is None:
             return False
         if pool.fencing is Fencing.CHECKED:
             server = pool.name, release.owner or ''
@@ -686,32 +693,33 @@
         limit_s = self.order_limits[pool.name]
         return term.granter.is_drained(release.withdrawn, limit_s, now)
 
-    def _place(  # noqa: WPS231
-        self,
-        term: _Term,
-        pool: Pool,
-        now: float,
-    ) -> None:
+    def _place(self, term: _Term, pool: Pool, now: float) -> None:
         """Decide the new owners of all shards that are free."""
         usable = self._usable(term, pool)
-        targets: dict[int, str] | None = None
-        released = {
-            (name, shard // SHARDS_PER_SEGMENT) for name, shard in term.releases
-        }
-        for key, held in self._unwritten(term, pool):
-            if held.is_owned and key not in released:
-                continue
+        homeless = []
+        for held in self._unplaced(term, pool):
             free = self._free(term, pool, held, now)
-            if not free:
-                continue
-            home = self._target_zone(term, pool, key[1], now)
+            index = held.segment.index
+            home = self._target_zone(term, pool, index, now) if free else None
             if home is not None:
                 self._hand(term, pool, held, free, home)
-            elif usable:
-                if targets is None:
-                    targets = self._targets(term, pool, usable)
+            elif free:
+                homeless.append((held, free))
+        if homeless and usable:
+            targets = self._targets(term, pool, usable)
+            for held, free in homeless:
                 self._assign(term, held, free, targets)
 
+    def _unplaced(self, term: _Term, pool: Pool) -> list[_Held]:
+        released = {
+            (name, shard // SHARDS_PER_SEGMENT) for name, shard in term.releases
+        }
+        return [
+            held
+            for key, held in self._unwritten(term, pool)
+            if key in released or not held.is_owned
+        ]
+
     def _free(
         self,
         term: _Term,
@@ -721,10 +729,19 @@
     ) -> list[int]:
         if not held.segment.version and not self._is_settled(term, pool, now):
             return []
+        released = {
+            shard: term.releases[pool.name, shard]
+            for shard, _ in shard_numbers(held.segment)
+            if (pool.name, shard) in term.releases
+        }
+        is_free: dict[_Release | None, bool] = {
+            release: self._is_free(term, pool, release, now)
+            for release in set(released.values())
+        }
         return [
             shard
             for shard, one in shard_numbers(held.segment)
-            if one.owner is None or self._is_free(term, pool, shard, now)
+            if one.owner is None or is_free.get(released.get(shard))
         ]
 
     def _is_settled(self, term: _Term, pool: Pool, now: float) -> bool:
