--- a/src/oriolearch/adapters/entry.py
+++ b/src/oriolearch/adapters/entry.py
@@ -407,17 +407,23 @@
     def _watch(self) -> None:
         """End requests whose caller is gone or whose deadline has passed."""
         while not self.is_stopped.wait(self.settings.watch_period_s):
-            exchanges = [
-                exchange
-                for exchange in tuple(self.exchanges.values())
-                if not exchange.is_streaming
-            ]
-            for gone in _gone(exchanges):
-                gone.break_off(Failure.CALLER_GONE)
-            now = time.monotonic()
-            for exchange in exchanges:
-                if exchange.is_limited and now > exchange.deadline:
-                    exchange.break_off(Failure.TIMEOUT)
+            try:
+                self._check_running()
+            except Exception as error:
+                self._report_error(error)
+
+    def _check_running(self) -> None:
+        exchanges = [
+            exchange
+            for exchange in tuple(self.exchanges.values())
+            if not exchange.is_streaming
+        ]
+        for gone in _gone(exchanges):
+            gone.break_off(Failure.CALLER_GONE)
+        now = time.monotonic()
+        for exchange in exchanges:
+            if exchange.is_limited and now > exchange.deadline:
+                exchange.break_off(Failure.TIMEOUT)
 
 
 def _gone(exchanges: list[Exchange]) -> Iterator[Exchange]:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -224,6 +224,12 @@
     call.reset()
 
 
+def reset_during(call: Call) -> None:
+    """Reset while the body is being sent."""
+    call.stream.read(100000)
+    call.reset()
+
+
 def close_unanswered(call: Call) -> None:
     """Run the work and close."""
     call.read_body()
@@ -273,6 +279,7 @@
 FAULTS = [
     # fault, idempotent: result and runs, other: result and runs
     (reset_unread, OK, 1, UNKNOWN, 0),
+    (reset_during, UNKNOWN, 0, UNKNOWN, 0),
     (close_unanswered, OK, 2, UNKNOWN, 1),
     (cut_head, OK, 2, UNKNOWN, 1),
     (cut_answer, OK, 2, UNKNOWN, 1),
@@ -308,10 +315,11 @@
     faults = Faults(fault)
     fakes = [upstream(faults) for _ in range(2)]
     _, address = start(make_view(tuple(fake.address for fake in fakes)))
-    found = call(address, method, '/files/a', b'work')
-    ran = sum(call.body == b'work' for fake in fakes for call in fake.requests)
+    work = b'work' * (1_000_000 if fault is reset_during else 1)
+    found = call(address, method, '/files/a', work)
+    ran = sum(call.is_whole for fake in fakes for call in fake.requests)
     assert ((found.status, found.outcome), ran) == (expected, runs)
-    assert found.status != 200 or found.body == b'work'
+    assert found.status != 200 or found.body == work
 
 
 @pytest.mark.parametrize('method', ['GET', 'POST'])
@@ -460,9 +468,19 @@
         sock.close()
 
 
-@pytest.mark.parametrize('is_upload', [True, False])
+def test_early_answer_ends_an_upload(upstream: Upstreams, start: Start) -> None:
+    """A refusal by the upstream must reach a caller that still sends."""
+    fake = upstream(lambda call: call.answer(b'too large', 413))
+    _, address = start(make_view((fake.address,)))
+    found = call(address, 'POST', '/files/a', b'x' * 5_000_000)
+    assert (found.status, found.body) == (413, b'too large')
+
+
+@pytest.mark.parametrize(
+    ('method', 'is_upload'), [('POST', True), ('POST', False), ('GET', False)]
+)
 def test_graceful_stop(
-    upstream: Upstreams, start: Start, is_upload: bool
+    upstream: Upstreams, start: Start, method: str, is_upload: bool
 ) -> None:
     """A shutdown must not interrupt a request, nor an upload halfway."""
     release = threading.Event()
@@ -476,7 +494,7 @@
     entry, address = start(make_view((fake.address,)))
     size = 200000 if is_upload else 2
     conn = HTTPConnection(*address, timeout=WAIT_S)
-    conn.putrequest('POST', '/files/a')
+    conn.putrequest(method, '/files/a')
     conn.putheader('content-length', str(size))
     conn.endheaders()
     conn.send(b'x' * (size // 2 if is_upload else size))
@@ -492,6 +510,7 @@
     release.set()
     found = conn.getresponse()
     assert (found.status, found.read()) == (200, str(size).encode())
+    assert len(fake.requests) == 1
     drain.join(WAIT_S)
     assert not drain.is_alive()
     assert call(address, 'GET', '/oriolearch/ready').status == 0
