--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -97,6 +97,11 @@
         time.sleep(POLL_S)
 
 
+def advance(owner: Any, duration_s: float) -> None:
+    """Let time pass on the manual clock of a stand-in or client."""
+    owner.clock.advance(duration_s)
+
+
 Started = tuple[Entry, tuple[str, int]]
 
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -61,17 +61,18 @@
 
 
 @both
+@pytest.mark.parametrize(
+    'fault',
+    ['reset_before', 'reset_after_run', 'cut_answer'],
+)
 def test_faults_of_the_protocol_need_a_path(
     connect: Connect,
     make: Make,
+    fault: str,
 ) -> None:
     """A lost cancellation must be testable apart from lost orders."""
     http = connect(make(ManualClock()))
-    http.call(
-        'POST',
-        '/faults',
-        {'reset_after_run': {'path': '/cancel', 'count': 1}},
-    )
+    http.call('POST', '/faults', {fault: {'path': '/cancel', 'count': 1}})
     assert http.call('GET', '/k')[0] == 200
     statuses = [http.call('POST', '/cancel/a1')[0] for _ in range(2)]
     assert statuses == [0, 200]
@@ -205,6 +206,7 @@
     clock.advance(0.6)
     seen = answer()
     assert (seen[0], seen[1].get('oriolearch-not-run')) == (status, not_run)
+    assert seen[1]['oriolearch-attempt'] == 'a', 'or the router drops it'
     assert standin.counts['runs'] == runs
 
 
@@ -292,4 +294,6 @@
     """A misspelt fault would make a test pass without a fault."""
     http = connect(make(ManualClock()))
     assert http.call('POST', '/faults', body)[0] == 400
+    assert http.call('GET', '/k?bytes=many')[0] == 400
+    assert not http.json('GET', '/ledger')
     assert not http.json('GET', '/faults')
