Forget a request whose ticket could not be closed

A broken invariant at the end of a request left it in the list of running requests and its connection without an answer.

--- a/src/oriolearch/adapters/entry.py
+++ b/src/oriolearch/adapters/entry.py
@@ -307,7 +307,11 @@
         self.telemetry.events.emit(Event.CALLER_ERROR, text=message)
 
     def _forget(self, exchange: Exchange, outcome: str) -> None:
-        self.dispatcher.close(exchange)
+        try:
+            self.dispatcher.close(exchange)
+        except InvariantError as error:
+            self._report_error(error)
+        # Not before its attempts have ended: :meth:`orders` must show them.
         self.exchanges.pop(exchange.request_id, None)
         if exchange.claim is not None:
             self.claims.discard(exchange.claim)
