--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -109,8 +109,8 @@
     found: list[Result] = []
     first = threading.Thread(
         target=lambda: found.append(
-            call(address, 'POST', '/files/a', b'', headers),
-        ),
+            call(address, 'POST', '/files/a', b'', headers)
+        )
     )
     first.start()
     wait_until(lambda: fake.requests)
@@ -129,8 +129,7 @@
 
 
 def test_moved_key_runs_once_at_new_owner(
-    upstream: Upstreams,
-    start: Start,
+    upstream: Upstreams, start: Start
 ) -> None:
     """After a proof of "not owner" the new owner must run it, once."""
     old, new = upstream(not_owner), upstream()
@@ -138,7 +137,7 @@
     entry, address = start(make_view((), addresses), moved_wait_s=WAIT_S)
     found: list[Result] = []
     caller = threading.Thread(
-        target=lambda: found.append(call(address, 'POST', '/orders/k', b'x')),
+        target=lambda: found.append(call(address, 'POST', '/orders/k', b'x'))
     )
     caller.start()
     wait_until(lambda: old.requests)
@@ -150,8 +149,7 @@
 
 
 def test_key_without_owner_is_refused(
-    upstream: Upstreams,
-    start: Start,
+    upstream: Upstreams, start: Start
 ) -> None:
     """Without a new owner the refusal must say that it was not run."""
     fake = upstream(not_owner)
@@ -177,10 +175,7 @@
     fake = upstream()
     now = time.monotonic()
     view = make_view(
-        (),
-        (fake.address,),
-        permit_end=now + permit_s,
-        fencing=Fencing.NONE,
+        (), (fake.address,), permit_end=now + permit_s, fencing=Fencing.NONE
     )
     clocks = {'k0': ServerClock(5000, now)} if has_clock else {}
     _, address = start(view, clocks=clocks)
@@ -195,10 +190,7 @@
         assert not fake.requests
 
 
-def test_gone_caller_cancels_attempt(
-    upstream: Upstreams,
-    start: Start,
-) -> None:
+def test_gone_caller_cancels_attempt(upstream: Upstreams, start: Start) -> None:
     """Work for a caller that is gone must not keep an upstream busy."""
     fake = upstream(hang)
     entry, address = start(make_view((fake.address,)))
@@ -232,6 +224,12 @@
     call.reset()
 
 
+def reset_during(call: Call) -> None:
+    """Reset while the body is being sent."""
+    call.stream.read(100000)
+    call.reset()
+
+
 def close_unanswered(call: Call) -> None:
     """Run the work and close."""
     call.read_body()
@@ -281,6 +279,7 @@
 FAULTS = [
     # fault, idempotent: result and runs, other: result and runs
     (reset_unread, OK, 1, UNKNOWN, 0),
+    (reset_during, UNKNOWN, 0, UNKNOWN, 0),
     (close_unanswered, OK, 2, UNKNOWN, 1),
     (cut_head, OK, 2, UNKNOWN, 1),
     (cut_answer, OK, 2, UNKNOWN, 1),
@@ -316,17 +315,16 @@
     faults = Faults(fault)
     fakes = [upstream(faults) for _ in range(2)]
     _, address = start(make_view(tuple(fake.address for fake in fakes)))
-    found = call(address, method, '/files/a', b'work')
-    ran = sum(call.body == b'work' for fake in fakes for call in fake.requests)
+    work = b'work' * (1_000_000 if fault is reset_during else 1)
+    found = call(address, method, '/files/a', work)
+    ran = sum(call.is_whole for fake in fakes for call in fake.requests)
     assert ((found.status, found.outcome), ran) == (expected, runs)
-    assert found.status != 200 or found.body == b'work'
+    assert found.status != 200 or found.body == work
 
 
 @pytest.mark.parametrize('method', ['GET', 'POST'])
 def test_refused_connection(
-    upstream: Upstreams,
-    start: Start,
-    method: str,
+    upstream: Upstreams, start: Start, method: str
 ) -> None:
     """A refused connection is proof of "not sent": another one serves."""
     closed, fake = upstream(), upstream()
@@ -361,8 +359,7 @@
 
 
 @pytest.mark.parametrize(
-    ('method', 'expected'),
-    [('GET', OK), ('POST', UNKNOWN)],
+    ('method', 'expected'), [('GET', OK), ('POST', UNKNOWN)]
 )
 def test_reused_connection_closed(
     upstream: Upstreams,
@@ -388,8 +385,7 @@
 
 
 def test_stalled_callers_beside_small_requests(
-    upstream: Upstreams,
-    start: Start,
+    upstream: Upstreams, start: Start
 ) -> None:
     """Stalled uploads and heads must not take the threads of others."""
     fake = upstream()
@@ -435,7 +431,7 @@
     entry, address = start(make_view((fake.address,)), callers=limits)
     with socket.create_connection(address, timeout=WAIT_S) as sock:
         sock.sendall(
-            b'PUT /files/a HTTP/1.1\r\nhost: x\r\ncontent-length: 99999\r\n\r\n',
+            b'PUT /files/a HTTP/1.1\r\nhost: x\r\ncontent-length: 99999\r\n\r\n'
         )
         wait_until(lambda: entry.exchanges)
         while entry.exchanges:
@@ -446,8 +442,7 @@
 
 
 def test_slow_downloads_leave_the_threads(
-    upstream: Upstreams,
-    start: Start,
+    upstream: Upstreams, start: Start
 ) -> None:
     """Callers that read slowly must not take the threads of others."""
 
@@ -465,7 +460,7 @@
         lambda: (
             len(entry.exchanges) == 3
             and all(found.is_streaming for found in entry.exchanges.values())
-        ),
+        )
     )
     assert call(address, 'POST', '/files/b', b'small').body == b'x'
     assert len(entry.exchanges) >= 3
@@ -473,11 +468,19 @@
         sock.close()
 
 
-@pytest.mark.parametrize('is_upload', [True, False])
+def test_early_answer_ends_an_upload(upstream: Upstreams, start: Start) -> None:
+    """A refusal by the upstream must reach a caller that still sends."""
+    fake = upstream(lambda call: call.answer(b'too large', 413))
+    _, address = start(make_view((fake.address,)))
+    found = call(address, 'POST', '/files/a', b'x' * 5_000_000)
+    assert (found.status, found.body) == (413, b'too large')
+
+
+@pytest.mark.parametrize(
+    ('method', 'is_upload'), [('POST', True), ('POST', False), ('GET', False)]
+)
 def test_graceful_stop(
-    upstream: Upstreams,
-    start: Start,
-    is_upload: bool,
+    upstream: Upstreams, start: Start, method: str, is_upload: bool
 ) -> None:
     """A shutdown must not interrupt a request, nor an upload halfway."""
     release = threading.Event()
@@ -491,7 +494,7 @@
     entry, address = start(make_view((fake.address,)))
     size = 200000 if is_upload else 2
     conn = HTTPConnection(*address, timeout=WAIT_S)
-    conn.putrequest('POST', '/files/a')
+    conn.putrequest(method, '/files/a')
     conn.putheader('content-length', str(size))
     conn.endheaders()
     conn.send(b'x' * (size // 2 if is_upload else size))
@@ -507,6 +510,7 @@
     release.set()
     found = conn.getresponse()
     assert (found.status, found.read()) == (200, str(size).encode())
+    assert len(fake.requests) == 1
     drain.join(WAIT_S)
     assert not drain.is_alive()
     assert call(address, 'GET', '/oriolearch/ready').status == 0
