Test the policy under random faults; end grants of closed upstreams

The run over random faults (seed 2, plain pool) found that a grant made before an upstream was closed was still sent when its thread took it later. poll now gives up such a grant and queues the request again.

--- a/src/oriolearch/core/policy.py
+++ b/src/oriolearch/core/policy.py
@@ -118,10 +118,9 @@
         if now >= self.fleet.review_at:
             self.fleet.review(now)
         if ticket.granted is not None:
-            granted = ticket.granted
-            ticket.granted = None
-            self.ready.pop(ticket, None)
-            return granted
+            granted = self._take_grant(now, ticket, ticket.granted)
+            if granted is not None:
+                return granted
         if ticket.refused is not None:
             self.ready.pop(ticket, None)
             return ticket.refused
@@ -469,6 +468,22 @@
             ticket.tried.clear()
         return self.poll(now, ticket)
 
+    def _take_grant(
+        self,
+        now: float,
+        ticket: Ticket,
+        granted: Send,
+    ) -> Send | None:
+        ticket.granted = None
+        self.ready.pop(ticket, None)
+        flight = self.flights[granted.attempt.attempt_id]
+        if flight.target.is_open or ticket.owner is not None:
+            return granted
+        # The upstream was closed between the grant and this call.
+        del ticket.states[granted.attempt.attempt_id]
+        self._release(now, flight)
+        return None
+
     def _poll_queued(self, now: float, ticket: Ticket) -> Decision:
         if not ticket.queued:
             self._enqueue(now, ticket)
--- a/src/oriolearch/core/targets.py
+++ b/src/oriolearch/core/targets.py
@@ -30,6 +30,7 @@
     """What this host knows of one upstream.
 
     :ivar capacity: requests of this host that it takes at the moment.
+    :ivar is_open: requests without an owner may be sent there.
     :ivar own: requests of this host that run there, bodies included.
     :ivar others: requests of other hosts there, as last reported.
     :ivar pending: decision time of each request without a response head.
@@ -39,6 +40,7 @@
     __slots__ = (
         'capacity',
         'evidence',
+        'is_open',
         'latency',
         'latency_at',
         'leaving_at',
@@ -64,6 +66,7 @@
         self.evidence = Evidence()
         self.ramp = Ramp()
         self.capacity = self.limit.level
+        self.is_open = False
         self.leaving_at: float | None = None
         self.saw_draining = False
 
@@ -169,13 +172,16 @@
         self.review_at = math.inf
         self.ejected = 0
         self.available = 0
+        for target in self.targets.values():
+            target.is_open = False
         for target in self.present:
             if target.upstream.zone in self.zones_out:
                 continue
             if target.leaving_at is not None:
                 continue
             self.available += 1
-            if self._is_usable(now, target):
+            target.is_open = self._is_usable(now, target)
+            if target.is_open:
                 is_near = target.upstream.zone == self.zone
                 (self.near if is_near else self.far).append(target)
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -353,6 +353,19 @@
     assert names == {f'u{index}' for index in range(6)} - closed
 
 
+def test_grant_ends_when_its_upstream_closes() -> None:
+    """A grant taken late sent to an upstream that had left meanwhile."""
+    pool_policy = make(2, slots=1, connections=1)
+    running = [begin(pool_policy, 0, serial, deadline=9) for serial in 'ab']
+    ticket, decision = begin(pool_policy, 0, 'c', deadline=9)
+    assert isinstance(decision, Wait)
+    pool_policy.close(0.1, running[0][0])
+    pool_policy.leaving(0.2, running[0][1].attempt.upstream.name)
+    assert isinstance(pool_policy.poll(0.3, ticket), Wait)
+    pool_policy.close(0.4, running[1][0])
+    assert isinstance(pool_policy.poll(0.5, ticket), Send)
+
+
 def test_host_in_charge_ramps_up() -> None:
     """A cold upstream got more than it bears, or was never warmed up."""
     pool_policy = make(1, host='h0', slots=4)
--- /dev/null
+++ b/tests/test_policy_random.py
@@ -0,0 +1,266 @@
+"""Guards the promises of the policy under random failures of everything.
+
+Three hosts send to six upstreams in simulated time. What the upstreams ran is
+recorded apart from the policy and compared with what callers were told.
+"""
+
+import heapq
+import random
+from collections import Counter
+from itertools import count
+from typing import Any
+
+import pytest
+
+from oriolearch.core import model, policy
+from oriolearch.core.model import RequestClass
+from oriolearch.core.policy import Failure, Send, Wait
+
+HOSTS = ('h0', 'h1', 'h2')
+ZONES = ('a', 'b', 'c')
+SECONDS = 12
+CLASSES = (*[RequestClass.INTERACTIVE for _ in range(4)], *RequestClass)
+BREAKS = (
+    Failure.RESET,
+    Failure.CUT_ANSWER,
+    Failure.WRONG_ATTEMPT,
+    Failure.CALLER_GONE,
+)
+
+
+class World:
+    """Hosts, upstreams and callers with random faults."""
+
+    def __init__(self, seed: int, kind: model.PoolKind) -> None:
+        self.rng = random.Random(seed)
+        self.is_keyed = kind is model.PoolKind.KEYED
+        self.pool = model.Pool(
+            'pool',
+            kind,
+            tuple(
+                model.Upstream(f'u{index}', '', ZONES[index % 3], 2, 4)
+                for index in range(6)
+            ),
+            queue_limit=20,
+        )
+        self.hosts = {
+            name: policy.PoolPolicy(self.pool, zone, name, random.Random(seed))
+            for name, zone in zip(HOSTS, ZONES, strict=True)
+        }
+        self.names = [upstream.name for upstream in self.pool.upstreams]
+        self.factor = dict.fromkeys(self.names, 1.0)
+        self.broken = dict.fromkeys(self.names, 0.02)
+        self.closed: set[tuple[str, str]] = set()
+        self.events: list[tuple[float, int, Any, Any]] = []
+        self.serial = count()
+        self.now = 0.0
+        self.ran: Counter[str] = Counter()
+        self.not_run: set[str] = set()
+        self.open: dict[policy.Ticket, str] = {}
+        self.counts: Counter[str] = Counter()
+
+    def at(self, delay: float, action: Any, *args: Any) -> None:
+        entry = (self.now + max(delay, 0), next(self.serial), action, args)
+        heapq.heappush(self.events, entry)
+
+    def run(self) -> None:
+        self.at(0, self.arrive)
+        self.at(0, self.disturb)
+        while self.events:
+            when, _, action, args = heapq.heappop(self.events)
+            self.now = when
+            action(*args)
+
+    def chance(self, share: float) -> bool:
+        return self.rng.random() < share
+
+    def arrive(self) -> None:
+        if self.now > SECONDS:
+            return
+        burst = 3 if self.now % 4 > 3 else 1
+        self.at(self.rng.expovariate(700 * burst), self.arrive)
+        host = self.rng.choice(HOSTS)
+        owner = self.rng.choice(self.names) if self.is_keyed else None
+        facts = policy.RequestFacts(
+            f'r{next(self.serial)}',
+            self.rng.choice(CLASSES),
+            self.chance(0.6),
+            self.now + self.rng.choice((0.02, 0.2, 1)),
+            owner,
+            self.chance(0.8),
+        )
+        self.counts['requests'] += 1
+        pol = self.hosts[host]
+        ticket = pol.submit(self.now, facts)
+        self.open[ticket] = host
+        self.step(ticket, pol.poll(self.now, ticket))
+
+    def disturb(self) -> None:
+        """Change what is slow, broken, cold, leaving and out of service."""
+        if self.now > SECONDS:
+            return
+        self.at(0.2, self.disturb)
+        for name in self.names:
+            self.factor[name] = self.rng.choice((1, 1, 1, 1, 10))
+            self.broken[name] = self.rng.choice((0.02, 0.02, 0.02, 0.6))
+        cold, zones = {}, set()
+        if self.chance(0.5):
+            cold[self.rng.choice(self.names)] = self.rng.choice(HOSTS)
+        if self.chance(0.2):
+            zones.add(self.rng.choice(ZONES))
+        group: Counter[str] = Counter()
+        for pol in self.hosts.values():
+            group.update(pol.outstanding())
+        self.closed.clear()
+        for host, pol in self.hosts.items():
+            hints = {name: {'state': 'ready'} for name in self.names}
+            given = (self.pool, frozenset(zones), cold, group, hints)
+            pol.update(self.now, *given)
+            for upstream in self.pool.upstreams:
+                charged = cold.get(upstream.name, host)
+                if charged != host or upstream.zone in zones:
+                    self.closed.add((host, upstream.name))
+            self.wake(host)
+        if self.chance(0.1):
+            host, name = self.rng.choice(HOSTS), self.rng.choice(self.names)
+            self.hosts[host].leaving(self.now, name)
+            self.closed.add((host, name))
+
+    def step(self, ticket: policy.Ticket, decision: Any) -> None:
+        if isinstance(decision, Send):
+            self.send(ticket, decision.attempt)
+        elif isinstance(decision, Wait):
+            if not ticket.running:
+                self.at(decision.until - self.now, self.poll, ticket)
+        else:
+            self.end(ticket, decision)
+
+    def poll(self, ticket: policy.Ticket) -> None:
+        if ticket in self.open:
+            pol = self.hosts[self.open[ticket]]
+            decision = pol.poll(self.now, ticket)
+            assert pol.waiting <= self.pool.queue_limit
+            self.step(ticket, decision)
+
+    def send(self, ticket: policy.Ticket, attempt: policy.Attempt) -> None:
+        name = attempt.upstream.name
+        if self.is_keyed:
+            assert name == ticket.owner
+        else:
+            granted = (self.open[ticket], name)
+            assert granted not in self.closed or ticket.closed
+        running = [item.upstream.name for item in ticket.running.values()]
+        assert running.count(name) == 1
+        self.counts['hedges'] += attempt.hedge
+        self.at(0.0005, self.connect, ticket, attempt)
+        if not attempt.hedge:
+            self.look(ticket)
+
+    def look(self, ticket: policy.Ticket) -> None:
+        if ticket not in self.open:
+            return
+        hedge = self.hosts[self.open[ticket]].hedge(self.now, ticket)
+        if isinstance(hedge, Send):
+            self.send(ticket, hedge.attempt)
+        elif hedge is not None and hedge.until > self.now:
+            self.at(hedge.until - self.now, self.look, ticket)
+
+    def connect(self, ticket: policy.Ticket, attempt: policy.Attempt) -> None:
+        """Connect, hand the request over, and decide its fate."""
+        name = attempt.upstream.name
+        fate = 'served'
+        if self.chance(self.broken[name]):
+            fate = self.rng.choice(('refused', 'shed', 'broken', 'not read'))
+        if fate == 'refused':
+            refused = Failure.CONNECTION_REFUSED
+            self.failed(ticket, attempt, refused)
+            return
+        if ticket not in self.open:
+            return
+        pol = self.hosts[self.open[ticket]]
+        if not pol.sent(self.now, attempt.attempt_id):
+            return
+        request = ticket.facts.request_id
+        assert request not in self.not_run, 'sent after a refusal as not run'
+        if fate == 'shed':
+            status = self.rng.choice((409, 421, 503))
+            self.at(0.001, self.answered, ticket, attempt, status, True)
+            return
+        if fate != 'not read':
+            self.ran[request] += 1
+            if not ticket.facts.idempotent:
+                assert self.ran[request] == 1, 'ran twice'
+        took = self.rng.expovariate(200) * self.factor[name]
+        if fate != 'served':
+            ending = self.rng.choice(BREAKS)
+            self.at(took, self.failed, ticket, attempt, ending)
+        elif self.now + took > attempt.deadline:
+            left = attempt.deadline - self.now
+            self.at(left, self.failed, ticket, attempt, Failure.TIMEOUT)
+        else:
+            status = self.rng.choice((200, 200, 200, 500, 503))
+            self.at(took, self.answered, ticket, attempt, status, False)
+
+    def failed(
+        self,
+        ticket: policy.Ticket,
+        attempt: policy.Attempt,
+        failure: Failure,
+    ) -> None:
+        if ticket in self.open:
+            host = self.open[ticket]
+            identifier = attempt.attempt_id
+            decision = self.hosts[host].failed(self.now, identifier, failure)
+            self.step(ticket, decision)
+            self.wake(host)
+
+    def answered(
+        self,
+        ticket: policy.Ticket,
+        attempt: policy.Attempt,
+        status: int,
+        not_run: bool,
+    ) -> None:
+        if ticket in self.open:
+            host = self.open[ticket]
+            identifier = attempt.attempt_id
+            pol = self.hosts[host]
+            decision = pol.answered(self.now, identifier, status, not_run)
+            self.step(ticket, decision)
+            self.wake(host)
+
+    def end(self, ticket: policy.Ticket, decision: Any) -> None:
+        host = self.open.pop(ticket)
+        self.counts[type(decision).__name__] += 1
+        if isinstance(decision, policy.Refuse):
+            request = ticket.facts.request_id
+            if decision.refusal.outcome is policy.Outcome.NOT_RUN:
+                self.not_run.add(request)
+                assert not self.ran[request], 'refused as not run, but ran'
+        pol = self.hosts[host]
+        for lost in pol.cancelled(ticket):
+            pol.failed(self.now, lost.attempt_id, Failure.CANCELLED)
+        pol.close(self.now, ticket)
+
+    def wake(self, host: str) -> None:
+        for ticket in self.hosts[host].take_ready():
+            self.poll(ticket)
+
+
+@pytest.mark.parametrize('kind', list(model.PoolKind))
+@pytest.mark.parametrize('seed', range(4))
+def test_promises_hold_under_random_faults(
+    seed: int,
+    kind: model.PoolKind,
+) -> None:
+    """A request ran twice, was lost, or was falsely refused as not run."""
+    world = World(seed, kind)
+    world.run()
+    requests = world.counts['requests']
+    assert not world.open
+    assert requests == world.counts['Deliver'] + world.counts['Refuse']
+    assert world.counts['Deliver'] > requests / 4
+    assert world.counts['hedges'] <= requests * world.pool.hedge_share
+    for pol in world.hosts.values():
+        assert pol.outstanding() == {}
+        assert (pol.waiting, len(pol.flights), len(pol.ready)) == (0, 0, 0)
