Await lost owners; believe drain reports only of a part of the pool

A keyed request that never ran was refused after five refused connections (0.3 s), before a lost server's keys have a new owner. It is now tried until its deadline. Health reports that more than half of a pool drains no longer take it out of use; upstreams that announce it themselves are believed.

--- a/src/oriolearch/core/policy.py
+++ b/src/oriolearch/core/policy.py
@@ -53,6 +53,7 @@
 REDUCTION = 0.7  # of a concurrency limit, when the upstream sheds
 RECHECK_S = 0.05  # bounds a wait whose wake-up was missed
 RESEND_DELAY_S = 0.02  # a moved key has its new owner after a view change
+MAX_RESEND_DELAY_S = 0.2
 RETRY_BURST = 20.0  # lets a pool with few requests retry at all
 HEDGE_BURST = 16.0  # saved up for a moment in which an upstream is slow
 PROOF_STATUSES = frozenset((409, 421, 503))
@@ -457,14 +458,19 @@
             return Wait(ticket.facts.deadline)
         if now >= ticket.facts.deadline:
             return ticket.refuse(RefusalReason.DEADLINE)
-        if len(ticket.states) >= MAX_ATTEMPTS or not ticket.may_resend():
+        # A key has a new owner within seconds of the loss of its server, so
+        # requests that never ran are tried until their deadline.
+        is_over = len(ticket.states) >= MAX_ATTEMPTS
+        if ticket.owner is not None and not ticket.exposed:
+            is_over = False
+        if is_over or not ticket.may_resend():
             return ticket.refuse(RefusalReason.ATTEMPTS_FAILED)
         # What never reached an upstream adds no load to any.
         if is_charged and not self.retries.spend():
             return ticket.refuse(RefusalReason.RETRY_BUDGET, RECHECK_S)
         if ticket.owner is not None:
-            delay = RESEND_DELAY_S * 2 ** (len(ticket.states) - 1)
-            ticket.resend_at = now + delay
+            delay = RESEND_DELAY_S * 2 ** min(len(ticket.states) - 1, 9)
+            ticket.resend_at = now + min(delay, MAX_RESEND_DELAY_S)
         elif len(ticket.tried) >= len(self.fleet.present):
             ticket.tried.clear()
         return self.poll(now, ticket)
--- a/src/oriolearch/core/targets.py
+++ b/src/oriolearch/core/targets.py
@@ -31,6 +31,8 @@
     """What this host knows of one upstream.
 
     :ivar capacity: requests of this host that it takes at the moment.
+    :ivar is_present: the pool lists it.
+    :ivar is_noticed: it announced its departure itself.
     :ivar is_open: requests without an owner may be sent there.
     :ivar own: requests of this host that run there, bodies included.
     :ivar others: requests of other hosts there, as last reported.
@@ -44,7 +46,10 @@
         'capacity',
         'evidence',
         'excess',
+        'is_leaving',
+        'is_noticed',
         'is_open',
+        'is_present',
         'latency',
         'latency_at',
         'leaving_at',
@@ -72,6 +77,9 @@
         self.ramp = Ramp()
         self.capacity = self.limit.level
         self.is_open = False
+        self.is_present = False
+        self.is_noticed = False
+        self.is_leaving = False
         self.leaving_at: float | None = None
         self.saw_draining = False
 
@@ -114,6 +122,21 @@
                 return expected + SUSPECT_FACTOR * age
         return expected
 
+    def announce(self, charged: str | None) -> None:
+        """Take the host in charge while the upstream is cold."""
+        if self.ramp.charged != charged:
+            self.limit.restart()
+        self.ramp.announce(charged)
+
+    def count_others(self, group: int) -> None:
+        """Take the count of the whole group, this host included."""
+        self.others = max(group - self.own, 0)
+        self.reported += GROUP_SHARE * (self.others - self.reported)
+
+    def is_hinted_leaving(self) -> bool:
+        """Tell whether only a health report says that it departs."""
+        return self.leaving_at is not None and not self.is_noticed
+
     def hint(self, now: float, report: Mapping[str, Any] | None) -> None:
         """Take a health report, which lags and may mislead."""
         state = report.get('state') if report else None
@@ -126,6 +149,7 @@
             if self.saw_draining or forgotten:
                 self.leaving_at = None
                 self.saw_draining = False
+                self.is_noticed = False
 
 
 class Fleet:
@@ -164,20 +188,20 @@
         # An upstream taken out of the pool counts until its requests end.
         known = self.targets
         self.targets = {name: tgt for name, tgt in known.items() if tgt.own}
+        for target in known.values():
+            target.is_present = False
         self.present = []
         for upstream in pool.upstreams:
             name = upstream.name
             target = known.get(name) or Target(upstream)
             target.upstream = upstream
+            target.is_present = True
             self.targets[name] = target
             self.present.append(target)
-            charged = cold.get(name)
-            if upstream.zone in returned or target.ramp.charged != charged:
+            if upstream.zone in returned:
                 target.limit.restart()
-            target.ramp.announce(charged)
-            others = group_outstanding.get(name, 0) - target.own
-            target.others = max(others, 0)
-            target.reported += GROUP_SHARE * (target.others - target.reported)
+            target.announce(cold.get(name))
+            target.count_others(group_outstanding.get(name, 0))
             target.hint(now, hints.get(name))
         self._compare_reports()
         self.review(now)
@@ -198,11 +222,7 @@
         self.available = 0
         for target in self.targets.values():
             target.is_open = False
-        for target in self.present:
-            if target.upstream.zone in self.zones_out:
-                continue
-            if target.leaving_at is not None:
-                continue
+        for target in self._staying():
             self.available += 1
             target.is_open = self._is_usable(now, target)
             if target.is_open:
@@ -224,11 +244,11 @@
         a cold or shedding owner takes one request of each host at a time.
         """
         target = self.targets.get(name)
-        if target is None or target not in self.present:
-            return None
-        leaving_at = target.leaving_at
-        if leaving_at is not None and now - leaving_at > LEAVING_GRACE_S:
+        if target is None or not target.is_present:
             return None
+        if target.is_leaving and target.leaving_at is not None:
+            if now - target.leaving_at > LEAVING_GRACE_S:
+                return None
         is_cold = target.ramp.is_cold(now)
         target.capacity = 1 if is_cold else target.limit.level
         return target
@@ -244,11 +264,27 @@
     def leaving(self, now: float, name: str) -> None:
         """Take the notice of an upstream that it departs."""
         target = self.targets.get(name)
-        if target is not None and target.leaving_at is None:
+        if target is not None and not target.is_noticed:
+            target.is_noticed = True
             target.leaving_at = now
             target.saw_draining = False
             self.review(now)
 
+    def _staying(self) -> list[Target]:
+        """Find the upstreams that are in service and do not leave."""
+        in_service = [
+            target
+            for target in self.present
+            if target.upstream.zone not in self.zones_out
+        ]
+        hinted = sum(target.is_hinted_leaving() for target in in_service)
+        # Reports that most of a pool drains at once are not believed.
+        is_believed = hinted * 2 <= len(in_service)
+        for target in in_service:
+            is_hinted = is_believed and target.is_hinted_leaving()
+            target.is_leaving = target.is_noticed or is_hinted
+        return [target for target in in_service if not target.is_leaving]
+
     def _is_usable(self, now: float, target: Target) -> bool:
         ends = target.evidence.ejected_until
         if now < ends:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -312,9 +312,10 @@
     [
         {'hints': {'u0': {'state': 'cold', 'running': 900, 'queued': 9000}}},
         {'hints': {'u0': {'state': 'nonsense'}}},
+        {'hints': {name: {'state': 'draining'} for name in ('u0', 'u1')}},
         {'group_outstanding': {'u1': 1, 'ghost': 4}},
     ],
-    ids=['lying-load', 'unknown-state', 'unknown-upstream'],
+    ids=['lying-load', 'unknown-state', 'all-draining', 'unknown-upstream'],
 )
 def test_reports_do_not_override_live_requests(report: Any) -> None:
     """A late or false report took traffic from a good upstream."""
@@ -439,6 +440,26 @@
     assert isinstance(sends[2], Wait)
 
 
+def test_lost_owner_is_awaited() -> None:
+    """A key's requests were refused before it could have a new owner."""
+    pool_policy = make(6, kind=model.PoolKind.KEYED)
+    ticket, step = begin(pool_policy, owner='u0', deadline=3)
+    now = 0.0
+    while now < 2:
+        if isinstance(step, Send):
+            refused = Failure.CONNECTION_REFUSED
+            step = pool_policy.failed(now, step.attempt.attempt_id, refused)
+        else:
+            assert isinstance(step, Wait)
+            now = max(step.until, now + 0.001)
+            step = pool_policy.poll(now, ticket)
+    if isinstance(step, Send):
+        pool_policy.failed(now, step.attempt.attempt_id, Failure.RESET)
+    pool_policy.redirect(now, ticket, 'u1')
+    again = pool_policy.poll(now, ticket)
+    assert isinstance(again, Send)
+
+
 def test_moved_key_follows_its_owner() -> None:
     """A request to the former owner was not sent to the new one."""
     pool_policy = make(6, kind=model.PoolKind.KEYED, retry_share=0.0)
