--- a/bench/policy.py
+++ b/bench/policy.py
@@ -384,6 +384,7 @@
         )
         ticket = self.policy.submit(self.clock.now, facts)
         self.calls[ticket] = call
+        self.clock.at(facts.deadline, self.time_out, ticket)
         self.step(ticket, self.policy.poll(self.clock.now, ticket))
 
     def step(self, ticket: Ticket, decision: Any) -> None:
@@ -421,6 +422,17 @@
         if not attempt.hedge:
             self.look(ticket)
 
+    def time_out(self, ticket: Ticket) -> None:
+        """Give up what still runs at the deadline, as the data path does."""
+        for attempt in tuple(ticket.running.values()):
+            job = self.jobs.pop(attempt.attempt_id, None)
+            if ticket in self.calls and job is not None:
+                name = attempt.upstream.name
+                self.network.cancel(self.zone, name, job)
+                late = (attempt.attempt_id, Failure.TIMEOUT)
+                decision = self.policy.failed(self.clock.now, *late)
+                self.step(ticket, decision)
+
     def look(self, ticket: Ticket) -> None:
         """Ask whether to hedge."""
         if ticket not in self.calls:
@@ -482,7 +494,7 @@
         policy: str,
         load: float,
         slowed: int,
-        cold: bool,
+        cold: int,
         seconds: float,
         seed: int,
     ) -> None:
@@ -508,8 +520,8 @@
         # The slowed upstreams are spread over the zones.
         for index in range(slowed):
             self._calm(self.fakes[f'u{index * 4 % UPSTREAMS + index // 3}'])
-        if cold:
-            self.clock.at(2, self._stop, self.fakes['u0'])
+        for index in range(cold):
+            self.clock.at(2, self._stop, self.fakes[f'u{3 * index}'])
         if policy == 'ours':
             self.clock.at(0, self._sync)
 
@@ -595,7 +607,8 @@
             for name, number in host.policy.outstanding().items():
                 group[name] = group.get(name, 0) + number
         cold = {
-            name: 'h0'
+            # One of the hosts of its zone, h0, h3 and h6.
+            name: f'h{int(name[1:]) % 9}'
             for name, fake in self.fakes.items()
             if fake.cold_since is not None
         }
@@ -638,10 +651,11 @@
 
 
 DISTURBANCES = {
-    'none': (0, False),
-    '2 slow': (2, False),
-    '4 slow': (4, False),
-    'cold': (0, True),
+    'none': (0, 0),
+    '2 slow': (2, 0),
+    '4 slow': (4, 0),
+    'cold': (0, 1),
+    'cold zone': (0, 4),
 }
 LOADS = (0.5, 0.7, 0.85)
 
--- a/src/oriolearch/core/coldstart.py
+++ b/src/oriolearch/core/coldstart.py
@@ -10,6 +10,8 @@
 SHEDS_IN_A_ROW = 2
 HOLD_S = 1.0  # the coordinator's list needs two syncs and a health check
 GOOD_FACTOR = 4  # against the pool's median: later answers stop the ramp
+FIRST_GOOD = 10  # good answers before the first increase
+MAX_GOOD = 200  # before an increase, after repeated shedding
 WARM_ANSWERS = 20  # good answers in a row at full work
 
 
@@ -17,15 +19,18 @@
     """State of one upstream that is cold, or may be.
 
     :ivar charged: host that the coordinator's list names, if any.
+    :ivar needed: good answers before one more request is allowed; doubles
+        when an increase was too early.
     :ivar allowed: requests that the host in charge may have running.
     """
 
-    __slots__ = ('allowed', 'charged', 'good', 'held_until', 'sheds')
+    __slots__ = ('allowed', 'charged', 'good', 'held_until', 'needed', 'sheds')
 
     def __init__(self) -> None:
         self.charged: str | None = None
         self.allowed = 1
         self.good = 0
+        self.needed = FIRST_GOOD
         self.sheds = 0
         self.held_until = 0.0
 
@@ -34,6 +39,7 @@
         if self.charged is None and charged is not None:
             self.allowed = 1
             self.good = 0
+            self.needed = FIRST_GOOD
         if charged is not None or self.charged is not None:
             self.held_until = 0.0
         self.charged = charged
@@ -45,6 +51,8 @@
 
         :param running: own requests at the upstream, this one included.
         """
+        if self.allowed > 1:
+            self.needed = min(self.needed * 2, MAX_GOOD)
         self.allowed = 1
         self.good = 0
         self.sheds += 1
@@ -64,7 +72,7 @@
             self.good = 0
             return
         self.good += 1
-        if self.good >= self.allowed * 2 and self.allowed < slots:
+        if self.good >= self.needed and self.allowed < slots:
             self.allowed += 1
             self.good = 0
 
--- a/src/oriolearch/core/policy.py
+++ b/src/oriolearch/core/policy.py
@@ -50,6 +50,10 @@
 
 Decision = Send | Wait | Refuse
 MAX_ATTEMPTS = 5
+# While requests wait, one that has less time left than this many medians is
+# refused. With 1, load 0.85 and a cold zone 93.2 % were answered on time, with
+# 1.5 it were 94.1 %, since no upstream works on answers that come too late.
+ANSWER_MEDIANS = 1.5
 REDUCTION = 0.7  # of a concurrency limit, when the upstream sheds
 RECHECK_S = 0.05  # bounds a wait whose wake-up was missed
 RESEND_DELAY_S = 0.02  # a moved key has its new owner after a view change
@@ -505,7 +509,10 @@
             queue = DeadlineQueue()
             self.queues[ticket.owner] = queue
         wait_s = self._expected_wait(ticket, queue)
-        if wait_s and now + wait_s > ticket.facts.deadline:
+        # An upstream that has room is asked in any case, so that a median
+        # from slower times cannot keep all requests out.
+        answered_at = now + wait_s + ANSWER_MEDIANS * self.norm.median.level
+        if self.waiting and answered_at > ticket.facts.deadline:
             return ticket.refuse(RefusalReason.DEADLINE, wait_s)
         if self.waiting >= self.pool.queue_limit:
             evicted = queue.evict_below(ticket.facts.request_class)
@@ -544,7 +551,9 @@
         ticket = queue.peek()
         if ticket is None:
             return False
-        if now >= ticket.facts.deadline:
+        answered_at = now + ANSWER_MEDIANS * self.norm.median.level
+        is_hopeless = self.waiting > 1 and answered_at > ticket.facts.deadline
+        if is_hopeless or now >= ticket.facts.deadline:
             queue.remove(ticket)
             ticket.refuse(RefusalReason.DEADLINE)
         else:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -8,6 +8,7 @@
 
 from oriolearch.core import model, policy
 from oriolearch.core.attempts import AttemptState
+from oriolearch.core.coldstart import Ramp
 from oriolearch.core.errors import InvariantError
 from oriolearch.core.limits import ConcurrencyLimit
 from oriolearch.core.model import RequestClass
@@ -383,6 +384,33 @@
     assert sum(isinstance(send, Send) for send in sends) == 4
 
 
+def test_ramp_waits_longer_after_shedding() -> None:
+    """A cold upstream was overfilled again as soon as it had recovered."""
+    ramp = Ramp()
+    ramp.announce('h0')
+    steps = []
+    for _ in range(3):
+        answers = 0
+        while ramp.allowed == 1:
+            ramp.answered(0.01, 0.01, slots=2)
+            answers += 1
+        steps.append(answers)
+        ramp.shed(0, running=2)
+    assert steps == [10, 20, 40]
+
+
+def test_late_request_gives_way() -> None:
+    """An upstream worked on an answer that came too late for its caller."""
+    pool_policy = make(1, slots=1, connections=1)
+    warm_up(pool_policy, 50)
+    blocking, _ = begin(pool_policy, 10, 'x', deadline=99)
+    late, _ = begin(pool_policy, 10, 'late', deadline=10.04)
+    timely, _ = begin(pool_policy, 10, 'timely', deadline=11)
+    pool_policy.close(10.03, blocking)
+    assert isinstance(pool_policy.poll(10.03, late), policy.Refuse)
+    assert isinstance(pool_policy.poll(10.03, timely), Send)
+
+
 def test_shedding_shows_a_cold_start() -> None:
     """An upstream that became cold without warning went on getting work."""
     pool_policy = make(3)
