--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,215 @@
+"""The platform client against the stand-in, and the stand-in's faults."""
+
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any
+
+import pytest
+
+from oriolearch.adapters.platform import HttpPlatform
+from oriolearch.clock import ManualClock
+from oriolearch.core import errors
+from oriolearch.ports import Condition, Write
+from oriolearch.standins.platform import FaultsBody, PlatformStandin
+from oriolearch.standins.server import LoopbackServer, Response
+from tests.conftest import TIMEOUT_S, Client, advance, eventually
+
+Connect = Callable[[Any], Client]
+
+PUT_ROW = [Write('t', 'k', {'n': 1})]
+
+
+@pytest.fixture
+def standin(connect: Connect) -> PlatformStandin:
+    platform = PlatformStandin(ManualClock())
+    connect(platform)
+    return platform
+
+
+def client(
+    standin: PlatformStandin | LoopbackServer,
+    zone: str = 'a',
+    timeout_s: float = TIMEOUT_S,
+) -> HttpPlatform:
+    return HttpPlatform(standin.address, zone, timeout_s)
+
+
+@pytest.mark.parametrize('key', ['k', 'a/b', 'a%2Fb', 'ñ ?&#', '..', ' '])
+def test_rows_keep_their_keys(standin: PlatformStandin, key: str) -> None:
+    """Two keys that meet in one row would overwrite each other."""
+    platform = client(standin)
+    assert platform.read('t', key).version == 0
+    assert platform.commit([], [Write('t', key, {'key': key})]) == [1]
+    read = platform.read('t', key)
+    assert (read.key, read.version, read.row) == (key, 1, {'key': key})
+    assert platform.scan('t', key) == [read]
+    assert not platform.scan('t', f'{key}x') and not platform.scan('u')
+
+
+def test_versions_grow_over_deletions(standin: PlatformStandin) -> None:
+    """A version used twice would let an old transaction take effect."""
+    platform = client(standin)
+    for expected, row in enumerate([{'n': 1}, None, {'n': 2}], start=1):
+        condition = Condition('t', 'k', expected - 1)
+        assert platform.commit([condition], [Write('t', 'k', row)]) == [
+            expected,
+        ]
+        assert platform.read('t', 'k').version == expected
+
+
+def test_failed_condition_writes_nothing(standin: PlatformStandin) -> None:
+    """Half of a transaction would leave an authority without a lease."""
+    platform = client(standin)
+    platform.commit([], [Write('t', 'b', {}), Write('t', 'b', {})])
+    with pytest.raises(errors.ConditionFailedError) as refused:
+        platform.commit(
+            [Condition('t', 'a', 0), Condition('t', 'b', 1)],
+            [Write('t', 'a', {}), Write('t', 'c', {})],
+        )
+    assert refused.value.failed == (('t', 'b', 2),)
+    assert [row.key for row in platform.scan('t')] == ['b']
+
+
+def test_objects(standin: PlatformStandin) -> None:
+    """A blob must come back byte for byte, and an absent one as None."""
+    platform = client(standin)
+    assert platform.get('snapshot/1') is None
+    platform.put('snapshot/1', bytes(range(256)))
+    assert platform.get('snapshot/1') == bytes(range(256))
+
+
+@pytest.mark.parametrize(
+    ('faults', 'error', 'effect_now', 'effect_after_1s'),
+    [
+        ({}, None, True, True),
+        ({'down': True}, errors.PlatformRefusedError, False, False),
+        ({'cut': True}, errors.OutcomeUnknownError, False, False),
+        ({'lose_answers': 1}, errors.OutcomeUnknownError, True, True),
+        (
+            {'lose_after_delay_ms': 500},
+            errors.OutcomeUnknownError,
+            False,
+            True,
+        ),
+    ],
+)
+@pytest.mark.parametrize('zones', [None, ['a']])
+def test_faults_of_writes(
+    standin: PlatformStandin,
+    faults: dict[str, Any],
+    error: type[Exception] | None,
+    effect_now: bool,
+    effect_after_1s: bool,
+    zones: list[str] | None,
+) -> None:
+    """A write taken for refused that took effect would give two holders."""
+    other = client(standin, 'b')
+    standin.set_faults(FaultsBody(zones=zones, **faults))
+    caught: type[Exception] | None = None
+    try:
+        client(standin).commit([Condition('t', 'k', 0)], PUT_ROW)
+    except errors.PlatformError as seen:
+        caught = type(seen)
+    assert caught is error
+    if zones is None:
+        standin.faults.clear()
+    assert other.read('t', 'k').version == int(effect_now)
+    advance(standin, 1)
+    assert other.read('t', 'k').version == int(effect_after_1s)
+    assert standin.counts['writes'] <= 1, 'the client must not repeat it'
+
+
+def test_late_write_meets_its_conditions_late(
+    standin: PlatformStandin,
+) -> None:
+    """A delayed transaction must not overwrite what came before it."""
+    standin.set_faults(FaultsBody(zones=['a'], lose_after_delay_ms=500))
+    for zone, n in (('a', 1), ('b', 2)):
+        with suppress(errors.OutcomeUnknownError):
+            row = Write('t', 'k', {'n': n})
+            client(standin, zone).commit([Condition('t', 'k', 0)], [row])
+    advance(standin, 1)
+    assert client(standin, 'b').read('t', 'k').row == {'n': 2}
+
+
+def test_slow_write_takes_effect_after_the_time_out(
+    standin: PlatformStandin,
+) -> None:
+    """A time-out is no proof that nothing took effect."""
+    standin.set_faults(FaultsBody(slow_ms=500))
+    with pytest.raises(errors.OutcomeUnknownError):
+        client(standin, timeout_s=0.05).commit([], PUT_ROW)
+    assert not standin.tables.rows
+    advance(standin, 1)
+    eventually(lambda: standin.tables.version('t', 'k') == 1)
+
+
+def test_lost_answers_follow_the_seed(connect: Connect) -> None:
+    """A failure found by a seed must be found again."""
+
+    def outcomes() -> list[bool]:
+        platform = PlatformStandin(ManualClock(), seed=5)
+        http = connect(platform)
+        platform.set_faults(FaultsBody(lose_answers=0.5))
+        return [http.call('GET', '/hosts')[0] == 200 for _ in range(20)]
+
+    assert outcomes() == outcomes()
+    assert len(set(outcomes())) == 2
+
+
+def test_host_list_lags(standin: PlatformStandin, connect: Connect) -> None:
+    """A test against a list without lag would miss stale members."""
+    http = connect(standin)
+    entry = {'zone': 'a', 'address': '127.0.0.1:1', 'state': 'live'}
+    http.call('PUT', '/hosts/h1', entry)
+    http.call('POST', '/faults', {'stale_hosts_s': 3})
+    assert not client(standin).hosts()
+    advance(standin, 3)
+    http.call('DELETE', '/hosts/h1')
+    assert [(host.host, host.state) for host in client(standin).hosts()] == [
+        ('h1', 'live'),
+    ]
+    advance(standin, 3)
+    assert not client(standin).hosts()
+    assert http.json('GET', '/stats')['reads/a'] == 3
+
+
+def test_refused_connection_is_a_refusal(standin: PlatformStandin) -> None:
+    """An outage must not leave attempts unresolved that were never sent."""
+    standin.stop()
+    with pytest.raises(errors.PlatformRefusedError):
+        client(standin).commit([], PUT_ROW)
+
+
+@pytest.mark.parametrize(
+    ('call', 'given', 'status', 'body'),
+    [
+        ('read', ('t', 'k'), 200, b''),
+        ('read', ('t', 'k'), 200, b'{"version": 1, "value": [1]}'),
+        ('read', ('t', 'k'), 200, b'{"version": "1", "value": {}}'),
+        ('read', ('t', 'k'), 200, b'{"version": -1, "value": {}}'),
+        ('read', ('t', 'k'), 404, b'not found'),
+        ('read', ('t', 'k'), 500, b'{"version": 1, "value": {}}'),
+        ('scan', ('t',), 200, b'{}'),
+        ('scan', ('t',), 200, b'[{"version": 1, "value": {}}]'),
+        ('commit', ([], PUT_ROW), 200, b'{"versions": []}'),
+        ('commit', ([], PUT_ROW), 200, b'{"versions": [null]}'),
+        ('commit', ([], PUT_ROW), 409, b'\xff'),
+        ('commit', ([], PUT_ROW), 302, b'{"versions": [1]}'),
+        ('put', ('x', b''), 404, b''),
+        ('get', ('x',), 500, b''),
+        ('hosts', (), 200, b'[{"host": "h"}]'),
+    ],
+)
+def test_malformed_answers_have_one_kind_of_error(
+    connect: Connect,
+    call: str,
+    given: tuple[Any, ...],
+    status: int,
+    body: bytes,
+) -> None:
+    """Another exception would end the task that called."""
+    server = LoopbackServer(lambda _: Response.from_bytes(body, status))
+    connect(server)
+    with pytest.raises(errors.OutcomeUnknownError):
+        getattr(client(server), call)(*given)
