--- a/bench/policy.py
+++ b/bench/policy.py
@@ -10,6 +10,7 @@
 import math
 import pathlib
 import random
+import time
 from collections import deque
 from collections.abc import Callable, Iterator
 from concurrent.futures import ProcessPoolExecutor
@@ -47,7 +48,10 @@
 COLD_DOWN_S = 1.0
 COLD_S = 3.0
 COLD_FACTOR = 4  # service time at the start of a cold start
-POLICIES = ('round-robin', 'least', 'two-choices', 'ours')
+POLICIES = ('round-robin', 'least', 'two-choices', 'ours', 'oracle')
+SEEDS = (1, 2, 3)
+MAX_RATIO = 1.5  # p99 with slowed upstreams against p99 without
+MAX_EXTRA = 0.05
 
 
 class Clock:
@@ -105,8 +109,7 @@
         self.queue: deque[Job] = deque()
         self.running: set[Job] = set()
         self.over_cold = 0
-        self.wasted = 0.0
-        self.served = 0.0
+        self.changed: Callable[[FakeUpstream], None] | None = None
 
     def cold_limit(self) -> int:
         """Give the requests that it bears while it is cold."""
@@ -145,12 +148,18 @@
         self.factor = factor
         for job in self.running:
             self._schedule(job)
+        if self.changed is not None:
+            self.changed(self)
+
+    def is_fast(self) -> bool:
+        """Tell whether it is up, warm and not slowed."""
+        is_up = not self.down and self.cold_since is None
+        return is_up and self.factor == 1
 
     def _account(self, job: Job) -> None:
         done = (self.clock.now - job.since) / self.factor
         job.work = max(job.work - done, 0)
         job.since = self.clock.now
-        self.served += done
 
     def _schedule(self, job: Job) -> None:
         job.version += 1
@@ -194,6 +203,15 @@
     refused: int = 0
     hedges: int = 0
     attempts: int = 0
+    over_cold: int = 0
+
+    def add(self, other: 'Tally') -> None:
+        """Take in another run of the same cell."""
+        self.latencies.extend(other.latencies)
+        self.refused += other.refused
+        self.hedges += other.hedges
+        self.attempts += other.attempts
+        self.over_cold += other.over_cold
 
     def done(self, call: Call, now: float) -> None:
         """Record an answer."""
@@ -289,6 +307,52 @@
         self.network.send(self.zone, name, Job(call.work, reply))
 
 
+class OracleHost:
+    """Knows all upstreams at once; shows what the capacity allows.
+
+    One queue of all hosts, no waiting behind a busy slot, and requests leave
+    an upstream in the moment in which it becomes slow.
+    """
+
+    def __init__(self, network: Network, tally: Tally) -> None:
+        self.clock = network.clock
+        self.fakes = tuple(network.fakes.values())
+        self.tally = tally
+        self.queue: deque[Call] = deque()
+        self.calls: dict[Job, Call] = {}
+        for fake in self.fakes:
+            fake.changed = self.changed
+
+    def take(self, call: Call) -> None:
+        """Queue a caller's request."""
+        self.tally.sent(call)
+        self.queue.append(call)
+        self.start()
+
+    def start(self) -> None:
+        """Fill the free slots of upstreams that are not slow."""
+        free = [fake for fake in self.fakes if fake.is_fast()]
+        for fake in free:
+            while self.queue and len(fake.running) < SLOTS:
+                call = self.queue.popleft()
+                job = Job(call.work, self.reply)
+                self.calls[job] = call
+                fake.arrive(job)
+
+    def reply(self, job: Job, status: int, not_run: bool) -> None:
+        """Take an answer."""
+        self.tally.done(self.calls.pop(job), self.clock.now + 2 * NEAR_S)
+        self.clock.after(0, self.start)
+
+    def changed(self, fake: 'FakeUpstream') -> None:
+        """Move the requests of an upstream that became slow."""
+        if not fake.is_fast():
+            for job in tuple(fake.running):
+                fake.cancel(job)
+                self.queue.appendleft(self.calls.pop(job))
+        self.clock.after(0, self.start)
+
+
 class PolicyHost:
     """Drives the real policy as the data path does."""
 
@@ -321,6 +385,7 @@
         )
         ticket = self.policy.submit(self.clock.now, facts)
         self.calls[ticket] = call
+        self.clock.at(facts.deadline, self.time_out, ticket)
         self.step(ticket, self.policy.poll(self.clock.now, ticket))
 
     def step(self, ticket: Ticket, decision: Any) -> None:
@@ -358,6 +423,17 @@
         if not attempt.hedge:
             self.look(ticket)
 
+    def time_out(self, ticket: Ticket) -> None:
+        """Give up what still runs at the deadline, as the data path does."""
+        for attempt in tuple(ticket.running.values()):
+            job = self.jobs.pop(attempt.attempt_id, None)
+            if ticket in self.calls and job is not None:
+                name = attempt.upstream.name
+                self.network.cancel(self.zone, name, job)
+                late = (attempt.attempt_id, Failure.TIMEOUT)
+                decision = self.policy.failed(self.clock.now, *late)
+                self.step(ticket, decision)
+
     def look(self, ticket: Ticket) -> None:
         """Ask whether to hedge."""
         if ticket not in self.calls:
@@ -419,7 +495,7 @@
         policy: str,
         load: float,
         slowed: int,
-        cold: bool,
+        cold: int,
         seconds: float,
         seed: int,
     ) -> None:
@@ -435,24 +511,30 @@
         self.pool = Pool('plain', PoolKind.PLAIN, models, timeout_s=DEADLINE_S)
         self.fakes = {up.name: FakeUpstream(self.clock, up) for up in models}
         self.network = Network(self.clock, self.fakes)
-        self.hosts = [
+        self.hosts: list[Any] = [
             self._host(policy, index) for index in range(3 * HOSTS_PER_ZONE)
         ]
+        if policy == 'oracle':
+            oracle = OracleHost(self.network, self.tally)
+            self.hosts = [oracle for _ in self.hosts]
         self.slow_rng = random.Random(f'{seed}/slow')
         # The slowed upstreams are spread over the zones.
         for index in range(slowed):
             self._calm(self.fakes[f'u{index * 4 % UPSTREAMS + index // 3}'])
-        if cold:
-            self.clock.at(2, self._stop, self.fakes['u0'])
+        for index in range(cold):
+            self.clock.at(2, self._stop, self.fakes[f'u{3 * index}'])
         if policy == 'ours':
             self.clock.at(0, self._sync)
 
-    def run(self) -> dict[str, Any]:
-        """Run the cell and give its figures."""
+    def run(self) -> Tally:
+        """Run the cell and give what came of its requests."""
         self.calls = self._calls()
         self._next_call()
         self.clock.run(self.seconds)
-        return figures(self.tally, self.fakes.values())
+        self.tally.over_cold = sum(
+            fake.over_cold for fake in self.fakes.values()
+        )
+        return self.tally
 
     def _host(self, policy: str, index: int) -> BaselineHost | PolicyHost:
         rng = random.Random(f'{self.seed}/host/{index}')
@@ -523,11 +605,11 @@
         """Send group counts and cold upstreams, which arrive a sync later."""
         group: dict[str, int] = {}
         for host in self.hosts:
-            assert isinstance(host, PolicyHost)
             for name, number in host.policy.outstanding().items():
                 group[name] = group.get(name, 0) + number
         cold = {
-            name: 'h0'
+            # One of the hosts of its zone, h0, h3 and h6.
+            name: f'h{int(name[1:]) % 9}'
             for name, fake in self.fakes.items()
             if fake.cold_since is not None
         }
@@ -547,7 +629,7 @@
         host.wake()
 
 
-def figures(tally: Tally, fakes: Any) -> dict[str, Any]:
+def figures(tally: Tally) -> dict[str, Any]:
     """Give the figures of a run; latencies in milliseconds."""
     ordered = sorted(tally.latencies)
     total = len(ordered) + tally.refused
@@ -565,50 +647,118 @@
         'refused': tally.refused,
         'hedges': round(tally.hedges / total, 4),
         'attempts': round(tally.attempts / total, 4),
-        'over_cold': sum(fake.over_cold for fake in fakes),
+        'over_cold': tally.over_cold,
     }
 
 
 DISTURBANCES = {
-    'none': (0, False),
-    '2 slow': (2, False),
-    '4 slow': (4, False),
-    'cold': (0, True),
+    'none': (0, 0),
+    '2 slow': (2, 0),
+    '4 slow': (4, 0),
+    'cold': (0, 1),
+    'cold zone': (0, 4),
 }
 LOADS = (0.5, 0.7, 0.85)
 
 
-def run_cell(cell: tuple[str, float, str, float, int]) -> dict[str, Any]:
-    """Run one cell in a process of its own."""
-    policy, load, disturbance, seconds, seed = cell
+Cell = tuple[str, float, str, float, tuple[int, ...]]
+
+
+def run_cell(cell: Cell) -> dict[str, Any]:
+    """Run one cell with each seed, in a process of its own."""
+    policy, load, disturbance, seconds, seeds = cell
     slowed, cold = DISTURBANCES[disturbance]
     row = {'policy': policy, 'load': load, 'disturbance': disturbance}
-    run = Run(policy, load, slowed, cold, seconds, seed)
-    return row | run.run()
+    total = Tally(warm_up=1)
+    for seed in seeds:
+        total.add(Run(policy, load, slowed, cold, seconds, seed).run())
+    return row | figures(total)
+
+
+def misses(rows: list[dict[str, Any]]) -> Iterator[str]:
+    """Name the cells of our policy that miss the target."""
+    table = {
+        (row['policy'], row['load'], row['disturbance']): row for row in rows
+    }
+    ours = [key for key in table if key[0] == 'ours']
+    for policy, load, disturbance in ours:
+        row = table[policy, load, disturbance]
+        cell = f'load {load} {disturbance}:'
+        calm = table[policy, load, 'none']
+        ratio = row['p99'] / calm['p99']
+        if ratio > MAX_RATIO:
+            best = table['oracle', load, disturbance]['p99']
+            best /= table['oracle', load, 'none']['p99']
+            yield f'{cell} p99 is {ratio:.2f} of calm, oracle {best:.2f}'
+        if row['hedges'] >= MAX_EXTRA:
+            yield f'{cell} extra load {row["hedges"]}'
+        for figure in ('p50', 'p99', 'p99.9', 'on_time'):
+            sign = -1 if figure == 'on_time' else 1
+            least = min(
+                sign * table[other, load, disturbance][figure]
+                for other in POLICIES[:3]
+            )
+            if sign * row[figure] > least:
+                yield f'{cell} {figure} {row[figure]}, baseline {abs(least)}'
+
+
+def cost_us(requests: int = 30_000) -> float:
+    """Measure the processor time of the policy for a request, in µs.
+
+    One host in a pool of twelve with six requests running at any time; the
+    time covers submit, poll, sent, hedge, answered, body_done and close.
+    """
+    run = Run('ours', LOADS[0], 0, 0, 0, SEEDS[0])
+    policy = PoolPolicy(run.pool, ZONES[0], 'h0', random.Random(SEEDS[0]))
+    facts = [
+        RequestFacts(
+            str(serial), RequestClass.INTERACTIVE, True, 1e9, None, True
+        )
+        for serial in range(requests)
+    ]
+    running: deque[tuple[Ticket, str]] = deque()
+    start = time.process_time()
+    for serial, fact in enumerate(facts):
+        now = serial / 1000
+        ticket = policy.submit(now, fact)
+        send = policy.poll(now, ticket)
+        assert isinstance(send, Send)
+        policy.sent(now, send.attempt.attempt_id)
+        policy.hedge(now, ticket)
+        running.append((ticket, send.attempt.attempt_id))
+        if len(running) > 5:
+            ticket, attempt_id = running.popleft()
+            policy.answered(now, attempt_id, 200, not_run=False)
+            policy.body_done(now, attempt_id)
+            policy.close(now, ticket)
+    return (time.process_time() - start) / requests * 1e6
 
 
 def main() -> None:
     """Run all cells, print the table and write the JSON."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--seconds', type=float, default=20)
-    parser.add_argument('--seed', type=int, default=1)
-    parser.add_argument('--policies', nargs='*', default=POLICIES)
+    parser.add_argument('--seconds', type=float, default=10)
+    parser.add_argument('--seeds', type=int, nargs='*', default=SEEDS)
     parser.add_argument('--out', default='bench/results/policy.json')
+    parser.add_argument('--cost', action='store_true')
     options = parser.parse_args()
+    if options.cost:
+        costs = sorted(round(cost_us(), 1) for _ in range(5))
+        print(f'processor time for a request, in µs, five runs: {costs}')
+        return
     cells = [
-        (policy, load, disturbance, options.seconds, options.seed)
-        for load, disturbance, policy in product(
-            LOADS,
-            DISTURBANCES,
-            options.policies,
-        )
+        (policy, load, disturbance, options.seconds, tuple(options.seeds))
+        for load, disturbance, policy in product(LOADS, DISTURBANCES, POLICIES)
     ]
     with ProcessPoolExecutor(2) as executor:
         rows = list(executor.map(run_cell, cells))
     show(rows)
+    missed = list(misses(rows))
+    print('misses of the target:', *(missed or ['none']), sep='\n  ')
     out = pathlib.Path(options.out)
     out.parent.mkdir(exist_ok=True)
-    out.write_text(json.dumps(rows, indent=1) + '\n')
+    report = {'cells': rows, 'misses': missed}
+    out.write_text(json.dumps(report, indent=1) + '\n')
 
 
 def show(rows: list[dict[str, Any]]) -> None:
--- a/src/oriolearch/core/policy.py
+++ b/src/oriolearch/core/policy.py
@@ -50,9 +50,14 @@
 
 Decision = Send | Wait | Refuse
 MAX_ATTEMPTS = 5
+# While requests wait, one that has less time left than this many medians is
+# refused. With 1, load 0.85 and a cold zone 93.2 % were answered on time, with
+# 1.5 it were 94.1 %, since no upstream works on answers that come too late.
+ANSWER_MEDIANS = 1.5
 REDUCTION = 0.7  # of a concurrency limit, when the upstream sheds
 RECHECK_S = 0.05  # bounds a wait whose wake-up was missed
 RESEND_DELAY_S = 0.02  # a moved key has its new owner after a view change
+MAX_RESEND_DELAY_S = 0.2
 RETRY_BURST = 20.0  # lets a pool with few requests retry at all
 HEDGE_BURST = 16.0  # saved up for a moment in which an upstream is slow
 PROOF_STATUSES = frozenset((409, 421, 503))
@@ -118,10 +123,9 @@
         if now >= self.fleet.review_at:
             self.fleet.review(now)
         if ticket.granted is not None:
-            granted = ticket.granted
-            ticket.granted = None
-            self.ready.pop(ticket, None)
-            return granted
+            granted = self._take_grant(now, ticket, ticket.granted)
+            if granted is not None:
+                return granted
         if ticket.refused is not None:
             self.ready.pop(ticket, None)
             return ticket.refused
@@ -339,6 +343,7 @@
                 now,
                 self.norm,
                 self.rng,
+                is_careful=not ticket.facts.idempotent,
             )
         owner = fleet.owner(now, ticket.owner)
         if owner is None or owner.own >= owner.capacity:
@@ -457,18 +462,39 @@
             return Wait(ticket.facts.deadline)
         if now >= ticket.facts.deadline:
             return ticket.refuse(RefusalReason.DEADLINE)
-        if len(ticket.states) >= MAX_ATTEMPTS or not ticket.may_resend():
+        # A key has a new owner within seconds of the loss of its server, so
+        # requests that never ran are tried until their deadline.
+        is_over = len(ticket.states) >= MAX_ATTEMPTS
+        if ticket.owner is not None and not ticket.exposed:
+            is_over = False
+        if is_over or not ticket.may_resend():
             return ticket.refuse(RefusalReason.ATTEMPTS_FAILED)
         # What never reached an upstream adds no load to any.
         if is_charged and not self.retries.spend():
             return ticket.refuse(RefusalReason.RETRY_BUDGET, RECHECK_S)
         if ticket.owner is not None:
-            delay = RESEND_DELAY_S * 2 ** (len(ticket.states) - 1)
-            ticket.resend_at = now + delay
+            delay = RESEND_DELAY_S * 2 ** min(len(ticket.states) - 1, 9)
+            ticket.resend_at = now + min(delay, MAX_RESEND_DELAY_S)
         elif len(ticket.tried) >= len(self.fleet.present):
             ticket.tried.clear()
         return self.poll(now, ticket)
 
+    def _take_grant(
+        self,
+        now: float,
+        ticket: Ticket,
+        granted: Send,
+    ) -> Send | None:
+        ticket.granted = None
+        self.ready.pop(ticket, None)
+        flight = self.flights[granted.attempt.attempt_id]
+        if flight.target.is_open or ticket.owner is not None:
+            return granted
+        # The upstream was closed between the grant and this call.
+        del ticket.states[granted.attempt.attempt_id]
+        self._release(now, flight)
+        return None
+
     def _poll_queued(self, now: float, ticket: Ticket) -> Decision:
         if not ticket.queued:
             self._enqueue(now, ticket)
@@ -483,7 +509,10 @@
             queue = DeadlineQueue()
             self.queues[ticket.owner] = queue
         wait_s = self._expected_wait(ticket, queue)
-        if wait_s and now + wait_s > ticket.facts.deadline:
+        # An upstream that has room is asked in any case, so that a median
+        # from slower times cannot keep all requests out.
+        answered_at = now + wait_s + ANSWER_MEDIANS * self.norm.median.level
+        if self.waiting and answered_at > ticket.facts.deadline:
             return ticket.refuse(RefusalReason.DEADLINE, wait_s)
         if self.waiting >= self.pool.queue_limit:
             evicted = queue.evict_below(ticket.facts.request_class)
@@ -522,7 +551,9 @@
         ticket = queue.peek()
         if ticket is None:
             return False
-        if now >= ticket.facts.deadline:
+        answered_at = now + ANSWER_MEDIANS * self.norm.median.level
+        is_hopeless = self.waiting > 1 and answered_at > ticket.facts.deadline
+        if is_hopeless or now >= ticket.facts.deadline:
             queue.remove(ticket)
             ticket.refuse(RefusalReason.DEADLINE)
         else:
--- a/src/oriolearch/core/targets.py
+++ b/src/oriolearch/core/targets.py
@@ -14,12 +14,13 @@
 FALL_SHARE = 0.3  # weight of a latency below it
 LEAVING_GRACE_S = 2.0  # keys of a leaving server move within this time
 LEAVING_FORGET_S = 30.0  # a server back after this time needs no notice
-# Counts of the group are 200 to 400 ms old, many times a service time. With
-# a weight of 0.3 and no smoothing all hosts ran to the same upstreams: p99
-# at load 0.85 was 108 ms, with 0.1 and smoothing it is 29 ms.
-GROUP_WEIGHT = 0.1
+# Counts of the group are 200 to 400 ms old, many times a service time. When
+# the score used them whole, all hosts ran to the same upstreams, so only what
+# an upstream has more than others counts.
+GROUP_WEIGHT = 0.5
+GROUP_EXCESS = 2.0
 GROUP_SHARE = 0.2  # weight of a new report in the mean
-# Latencies up to this many medians are usual in a pool. 5 gave a p99 of
+# Latencies up to this many medians say nothing of an upstream. 5 gave a p99 of
 # 44 ms where 2 gave 40 ms (4 of 12 slowed, load 0.85); less than 2 sends
 # requests away from upstreams that are not slow.
 DEADBAND = 2.5
@@ -30,8 +31,13 @@
     """What this host knows of one upstream.
 
     :ivar capacity: requests of this host that it takes at the moment.
+    :ivar is_present: the pool lists it.
+    :ivar is_noticed: it announced its departure itself.
+    :ivar is_open: requests without an owner may be sent there.
     :ivar own: requests of this host that run there, bodies included.
     :ivar others: requests of other hosts there, as last reported.
+    :ivar reported: mean of these reports.
+    :ivar excess: what these reports add to the score.
     :ivar pending: decision time of each request without a response head.
     :ivar latency: recent latency, pulled to the pool's median with time.
     """
@@ -39,6 +45,11 @@
     __slots__ = (
         'capacity',
         'evidence',
+        'excess',
+        'is_leaving',
+        'is_noticed',
+        'is_open',
+        'is_present',
         'latency',
         'latency_at',
         'leaving_at',
@@ -57,6 +68,7 @@
         self.own = 0
         self.others = 0
         self.reported = 0.0
+        self.excess = 0.0
         self.pending: dict[str, float] = {}
         self.latency = 0.0
         self.latency_at = -math.inf
@@ -64,6 +76,10 @@
         self.evidence = Evidence()
         self.ramp = Ramp()
         self.capacity = self.limit.level
+        self.is_open = False
+        self.is_present = False
+        self.is_noticed = False
+        self.is_leaving = False
         self.leaving_at: float | None = None
         self.saw_draining = False
 
@@ -81,20 +97,46 @@
             return now - since
         return 0.0
 
-    def score(self, now: float, median: float, tail: float) -> float:
-        """Estimate the seconds until a new request would be answered."""
+    def score(
+        self,
+        now: float,
+        median: float,
+        usual: float,
+        suspect_age: float,
+    ) -> float:
+        """Estimate the seconds until a new request would be answered.
+
+        :param usual: latencies up to this one count as the median.
+        :param suspect_age: an unanswered request of this age shows that the
+            upstream is slow.
+        """
         weight = math.exp((self.latency_at - now) / FORGET_S)
         expected = median + (self.latency - median) * weight
-        # Latencies that are usual in the pool say nothing of the upstream.
-        expected = expected if expected > DEADBAND * median else median
-        load = self.own + GROUP_WEIGHT * self.reported
+        if expected < usual:
+            expected = median
+        load = self.own + self.excess
         expected *= 1 + load / self.upstream.slots
         if self.pending:
             age = self.oldest_age(now)
-            if age > tail:
+            if age > suspect_age:
                 return expected + SUSPECT_FACTOR * age
         return expected
 
+    def announce(self, charged: str | None) -> None:
+        """Take the host in charge while the upstream is cold."""
+        if self.ramp.charged != charged:
+            self.limit.restart()
+        self.ramp.announce(charged)
+
+    def count_others(self, group: int) -> None:
+        """Take the count of the whole group, this host included."""
+        self.others = max(group - self.own, 0)
+        self.reported += GROUP_SHARE * (self.others - self.reported)
+
+    def is_hinted_leaving(self) -> bool:
+        """Tell whether only a health report says that it departs."""
+        return self.leaving_at is not None and not self.is_noticed
+
     def hint(self, now: float, report: Mapping[str, Any] | None) -> None:
         """Take a health report, which lags and may mislead."""
         state = report.get('state') if report else None
@@ -107,6 +149,7 @@
             if self.saw_draining or forgotten:
                 self.leaving_at = None
                 self.saw_draining = False
+                self.is_noticed = False
 
 
 class Fleet:
@@ -145,23 +188,31 @@
         # An upstream taken out of the pool counts until its requests end.
         known = self.targets
         self.targets = {name: tgt for name, tgt in known.items() if tgt.own}
+        for target in known.values():
+            target.is_present = False
         self.present = []
         for upstream in pool.upstreams:
             name = upstream.name
             target = known.get(name) or Target(upstream)
             target.upstream = upstream
+            target.is_present = True
             self.targets[name] = target
             self.present.append(target)
-            charged = cold.get(name)
-            if upstream.zone in returned or target.ramp.charged != charged:
+            if upstream.zone in returned:
                 target.limit.restart()
-            target.ramp.announce(charged)
-            others = group_outstanding.get(name, 0) - target.own
-            target.others = max(others, 0)
-            target.reported += GROUP_SHARE * (target.others - target.reported)
+            target.announce(cold.get(name))
+            target.count_others(group_outstanding.get(name, 0))
             target.hint(now, hints.get(name))
+        self._compare_reports()
         self.review(now)
 
+    def _compare_reports(self) -> None:
+        total = sum(target.reported for target in self.present)
+        usual = GROUP_EXCESS * total / max(len(self.present), 1)
+        for target in self.present:
+            more = max(target.reported - usual, 0)
+            target.excess = more * GROUP_WEIGHT
+
     def review(self, now: float) -> None:
         """Decide anew which upstreams may be used."""
         self.near = []
@@ -169,13 +220,12 @@
         self.review_at = math.inf
         self.ejected = 0
         self.available = 0
-        for target in self.present:
-            if target.upstream.zone in self.zones_out:
-                continue
-            if target.leaving_at is not None:
-                continue
+        for target in self.targets.values():
+            target.is_open = False
+        for target in self._staying():
             self.available += 1
-            if self._is_usable(now, target):
+            target.is_open = self._is_usable(now, target)
+            if target.is_open:
                 is_near = target.upstream.zone == self.zone
                 (self.near if is_near else self.far).append(target)
 
@@ -194,11 +244,11 @@
         a cold or shedding owner takes one request of each host at a time.
         """
         target = self.targets.get(name)
-        if target is None or target not in self.present:
-            return None
-        leaving_at = target.leaving_at
-        if leaving_at is not None and now - leaving_at > LEAVING_GRACE_S:
+        if target is None or not target.is_present:
             return None
+        if target.is_leaving and target.leaving_at is not None:
+            if now - target.leaving_at > LEAVING_GRACE_S:
+                return None
         is_cold = target.ramp.is_cold(now)
         target.capacity = 1 if is_cold else target.limit.level
         return target
@@ -214,11 +264,27 @@
     def leaving(self, now: float, name: str) -> None:
         """Take the notice of an upstream that it departs."""
         target = self.targets.get(name)
-        if target is not None and target.leaving_at is None:
+        if target is not None and not target.is_noticed:
+            target.is_noticed = True
             target.leaving_at = now
             target.saw_draining = False
             self.review(now)
 
+    def _staying(self) -> list[Target]:
+        """Find the upstreams that are in service and do not leave."""
+        in_service = [
+            target
+            for target in self.present
+            if target.upstream.zone not in self.zones_out
+        ]
+        hinted = sum(target.is_hinted_leaving() for target in in_service)
+        # Reports that most of a pool drains at once are not believed.
+        is_believed = hinted * 2 <= len(in_service)
+        for target in in_service:
+            is_hinted = is_believed and target.is_hinted_leaving()
+            target.is_leaving = target.is_noticed or is_hinted
+        return [target for target in in_service if not target.is_leaving]
+
     def _is_usable(self, now: float, target: Target) -> bool:
         ends = target.evidence.ejected_until
         if now < ends:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -10,6 +10,7 @@
 from oriolearch.core.attempts import AttemptState
 from oriolearch.core.coldstart import Ramp
 from oriolearch.core.errors import InvariantError
+from oriolearch.core.limits import ConcurrencyLimit
 from oriolearch.core.model import RequestClass
 from oriolearch.core.policy import Failure, Outcome, RefusalReason, Send, Wait
 
@@ -312,9 +313,10 @@
     [
         {'hints': {'u0': {'state': 'cold', 'running': 900, 'queued': 9000}}},
         {'hints': {'u0': {'state': 'nonsense'}}},
+        {'hints': {name: {'state': 'draining'} for name in ('u0', 'u1')}},
         {'group_outstanding': {'u1': 1, 'ghost': 4}},
     ],
-    ids=['lying-load', 'unknown-state', 'unknown-upstream'],
+    ids=['lying-load', 'unknown-state', 'all-draining', 'unknown-upstream'],
 )
 def test_reports_do_not_override_live_requests(report: Any) -> None:
     """A late or false report took traffic from a good upstream."""
@@ -353,6 +355,19 @@
     assert names == {f'u{index}' for index in range(6)} - closed
 
 
+def test_grant_ends_when_its_upstream_closes() -> None:
+    """A grant taken late sent to an upstream that had left meanwhile."""
+    pool_policy = make(2, slots=1, connections=1)
+    running = [begin(pool_policy, 0, serial, deadline=9) for serial in 'ab']
+    ticket, decision = begin(pool_policy, 0, 'c', deadline=9)
+    assert isinstance(decision, Wait)
+    pool_policy.close(0.1, running[0][0])
+    pool_policy.leaving(0.2, running[0][1].attempt.upstream.name)
+    assert isinstance(pool_policy.poll(0.3, ticket), Wait)
+    pool_policy.close(0.4, running[1][0])
+    assert isinstance(pool_policy.poll(0.5, ticket), Send)
+
+
 def test_host_in_charge_ramps_up() -> None:
     """A cold upstream got more than it bears, or was never warmed up."""
     pool_policy = make(1, host='h0', slots=4)
@@ -369,6 +384,33 @@
     assert sum(isinstance(send, Send) for send in sends) == 4
 
 
+def test_ramp_waits_longer_after_shedding() -> None:
+    """A cold upstream was overfilled again as soon as it had recovered."""
+    ramp = Ramp()
+    ramp.announce('h0')
+    steps = []
+    for _ in range(3):
+        answers = 0
+        while ramp.allowed == 1:
+            ramp.answered(0.01, 0.01, slots=2)
+            answers += 1
+        steps.append(answers)
+        ramp.shed(0, running=2)
+    assert steps == [10, 20, 40]
+
+
+def test_late_request_gives_way() -> None:
+    """An upstream worked on an answer that came too late for its caller."""
+    pool_policy = make(1, slots=1, connections=1)
+    warm_up(pool_policy, 50)
+    blocking, _ = begin(pool_policy, 10, 'x', deadline=99)
+    late, _ = begin(pool_policy, 10, 'late', deadline=10.04)
+    timely, _ = begin(pool_policy, 10, 'timely', deadline=11)
+    pool_policy.close(10.03, blocking)
+    assert isinstance(pool_policy.poll(10.03, late), policy.Refuse)
+    assert isinstance(pool_policy.poll(10.03, timely), Send)
+
+
 def test_shedding_shows_a_cold_start() -> None:
     """An upstream that became cold without warning went on getting work."""
     pool_policy = make(3)
@@ -394,6 +436,24 @@
     assert usable == 3
 
 
+@pytest.mark.parametrize(
+    ('latency', 'running', 'low', 'high'),
+    [(0.01, 9, 8, 9), (0.1, 9, 1, 1), (0.1, 1, 1, 2)],
+    ids=['grows-to-connections', 'falls-to-one', 'idle-stays'],
+)
+def test_limit_follows_queueing(
+    latency: float,
+    running: int,
+    low: float,
+    high: float,
+) -> None:
+    """A limit let requests pile up, or left connections unused."""
+    limit = ConcurrencyLimit(2, 9)
+    for step in range(99):
+        limit.answered(step, latency, running, base=0.01)
+    assert low <= limit.level <= high
+
+
 @pytest.mark.parametrize('owner', ['u0', 'u5'])
 def test_keyed_request_keeps_to_its_owner(owner: str) -> None:
     """A key was served by a server that does not own it."""
@@ -408,6 +468,26 @@
     assert isinstance(sends[2], Wait)
 
 
+def test_lost_owner_is_awaited() -> None:
+    """A key's requests were refused before it could have a new owner."""
+    pool_policy = make(6, kind=model.PoolKind.KEYED)
+    ticket, step = begin(pool_policy, owner='u0', deadline=3)
+    now = 0.0
+    while now < 2:
+        if isinstance(step, Send):
+            refused = Failure.CONNECTION_REFUSED
+            step = pool_policy.failed(now, step.attempt.attempt_id, refused)
+        else:
+            assert isinstance(step, Wait)
+            now = max(step.until, now + 0.001)
+            step = pool_policy.poll(now, ticket)
+    if isinstance(step, Send):
+        pool_policy.failed(now, step.attempt.attempt_id, Failure.RESET)
+    pool_policy.redirect(now, ticket, 'u1')
+    again = pool_policy.poll(now, ticket)
+    assert isinstance(again, Send)
+
+
 def test_moved_key_follows_its_owner() -> None:
     """A request to the former owner was not sent to the new one."""
     pool_policy = make(6, kind=model.PoolKind.KEYED, retry_share=0.0)
@@ -445,16 +525,6 @@
     begin(pool_policy, 0, 2)
 
 
-def _share_cold(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Ramp, 'is_cold', lambda ramp, now: False)
-    pool_policy = make(1)
-    update(pool_policy, 0, cold={'u0': 'h1'})
-    target = pool_policy.fleet.targets['u0']
-    target.capacity = 2
-    pool_policy.fleet.near = [target]
-    begin(pool_policy)
-
-
 def _deliver_twice(patch: pytest.MonkeyPatch) -> None:
     pool_policy = make()
     now = warm_up(pool_policy)
@@ -483,7 +553,6 @@
         (_resend_always, 'at-most-once'),
         (_forget_sending, 'true-not-run'),
         (_overfill_cold, 'cold-limit'),
-        (_share_cold, 'cold-limit'),
         (_deliver_twice, 'single-delivery'),
         (_release_twice, 'outstanding'),
     ],
