Follow a moved owner while waiting; name cold upstreams to the zone

Cause: a request that waited for a lost keyed server kept its owner until its deadline, so callers were blocked for 10 s after the loss. Found cold upstreams had no way to the other hosts: they are now named in syncs, and health endpoints are asked by one host of the zone each. Hosts marked out are taken from plain pools.

--- a/src/oriolearch/adapters/dispatch.py
+++ b/src/oriolearch/adapters/dispatch.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Iterator, Mapping
+from dataclasses import replace
 from http import HTTPStatus
 
 from oriolearch.adapters.exchange import (
@@ -46,6 +47,7 @@
 )
 
 NOT_OWNER_STATUS = 421
+OWNER_CHECK_S = 0.1  # a request that waits for its owner looks for a new one
 HEDGE_CONNECT_S = 0.05  # meanwhile the answer of the first attempt waits
 
 Decision = Send | Wait | Refuse
@@ -97,6 +99,13 @@
         still run.
         """
         pool = document.pools.get(name, gate.policy.pool)
+        if document.hosts_out:
+            serving = tuple(
+                upstream
+                for upstream in pool.upstreams
+                if upstream.name not in document.hosts_out
+            )
+            pool = replace(pool, upstreams=serving)
         with gate.lock:
             gate.document = document
             gate.policy.update(
@@ -258,11 +267,31 @@
                 return decision
             gate.waiting[ticket] = wake
         if not exchange.is_gone:
-            wake.wait(max(decision.until - time.monotonic(), 0))
+            left_s = decision.until - time.monotonic()
+            if exchange.key is not None:
+                left_s = min(left_s, OWNER_CHECK_S)
+            wake.wait(max(left_s, 0))
         with gate.lock:
             gate.waiting.pop(ticket, None)
+        if self._has_moved(exchange):
+            raise OwnerMovedError
+        with gate.lock:
             return gate.policy.poll(time.monotonic(), ticket)
 
+    def _has_moved(self, exchange: Exchange) -> bool:
+        """Tell whether a request that waits for its owner has another one."""
+        view = self.published.view
+        if exchange.key is None or view is exchange.view or exchange.running:
+            return False
+        current = view.owner(exchange.pool, exchange.key)
+        known = exchange.owner
+        exchange.view = view
+        return (
+            current is not None
+            and known is not None
+            and current.assignment != known.assignment
+        )
+
     def _launch(self, exchange: Exchange, attempt: Attempt) -> Decision:
         """Send an attempt."""
         running = RunningAttempt(
--- a/src/oriolearch/adapters/entry.py
+++ b/src/oriolearch/adapters/entry.py
@@ -160,6 +160,22 @@
             counts.update({f'{name}/{up}': busy[up] for up in busy})
         return counts
 
+    def cold(self) -> frozenset[str]:
+        """Name each ``pool/upstream`` that this host finds to be cold.
+
+        One in this host's charge stays so until its ramp has ended.
+        """
+        now = time.monotonic()
+        found: set[str] = set()
+        for name, gate in tuple(self.dispatcher.gates.items()):
+            with gate.lock:
+                cold = set(gate.policy.found_cold(now))
+                warm = gate.policy.found_warm()
+            own = self.settings.host
+            cold.update(up for up, host in gate.cold.items() if host == own)
+            found.update(f'{name}/{up}' for up in cold.difference(warm))
+        return frozenset(found)
+
     def orders(self) -> list[tuple[View, Owner]]:
         """Give the view and owner of each running order, for rule G4."""
         return [
--- a/src/oriolearch/control.py
+++ b/src/oriolearch/control.py
@@ -48,6 +48,7 @@
 from oriolearch.core.placement import plan
 from oriolearch.core.syncing import OwnState, SyncKeeper
 from oriolearch.core.view import View
+from oriolearch.health import HealthReports
 from oriolearch.platform_calls import PlatformCalls
 from oriolearch.ports import Clock, HostEntry, HostList, TableService
 from oriolearch.renewing import Renewers
@@ -60,6 +61,8 @@
 MAX_DELAY_S = 0.03
 CONFIG_PERIOD_S = 0.5
 HOST_LIST_PERIOD_S = 1.0
+HEALTH_PERIOD_S = 1.0
+COLD_KEPT_S = 2.0
 HAND_OVER_LIMIT_S = 5.0
 FIRST_HOSTS = 3  # of a zone's listed hosts, that create its authorities
 PARENT_PATIENCE_S = 1.0  # a host without a parent then reads the host list
@@ -151,6 +154,8 @@
             events,
         )
         self.renewers = ports.renewers
+        self.health = HealthReports(own)
+        self.cold_named: dict[str, float] = {}
         self.listed: tuple[HostEntry, ...] = ()
         self.newest = Document()
         self.parent_heard = clock.monotonic() - PARENT_PATIENCE_S
@@ -169,6 +174,7 @@
                 (TICK_S, self._tick),
                 (CONFIG_PERIOD_S, self._read_config),
                 (HOST_LIST_PERIOD_S, self._read_host_list),
+                (HEALTH_PERIOD_S, self._ask_health),
             ):
                 group.create_task(self._repeat(period_s, work))
 
@@ -206,6 +212,7 @@
         """Close all connections; the tasks have ended."""
         self.authorities.close()
         self.renewers.close()
+        self.health.close()
         self.peers.close()
         self.calls.close()
 
@@ -313,6 +320,7 @@
         return OwnState(
             outstanding=self.entry.outstanding(),
             reports=reports,
+            cold=tuple(sorted(self.entry.cold() | self.health.cold())),
             leaving=self.is_leaving,
         )
 
@@ -359,7 +367,7 @@
             self.keeper.revisions,
             now,
         )
-        cold = self.keeper.children.cold().union(self.keeper.own_state.cold)
+        cold = self._cold(now)
         return SyncAnswer(
             sender=self.own,
             document_version=self.newest.version,
@@ -373,13 +381,30 @@
             ),
             outstanding={},
             members=members,
-            cold=self.charges.cold(sorted(cold)),
+            cold=self.charges.cold(cold),
             coordinators={
                 share.permit.authority: self.own.ref for share in shares
             },
             working=self.authorities.working(now),
         )
 
+    def _cold(self, now: float) -> list[str]:
+        """List the cold upstreams that were named lately.
+
+        The host that finds one does not name it again, and the one in charge
+        only begins to do so once it has heard of it.
+        """
+        for name in self.keeper.children.cold():
+            self.cold_named[name] = now
+        for name in self.keeper.own_state.cold:
+            self.cold_named[name] = now
+        self.cold_named = {
+            name: named
+            for name, named in self.cold_named.items()
+            if now < named + COLD_KEPT_S
+        }
+        return sorted(self.cold_named)
+
     def _newer_document(self) -> str | None:
         if self.newest.version <= self.keeper.view.document.version:
             return None
@@ -490,7 +515,7 @@
         self.entry.update(
             by_pool(self.keeper.cold),
             by_pool(self.keeper.others_outstanding(now)),
-            {},
+            self.health.hints,
         )
         self.peers.close_unused()
 
@@ -515,6 +540,10 @@
                 lambda: self.config_table.load(newest),
             )
 
+    async def _ask_health(self) -> None:
+        members = self._zone_members()
+        await self.health.ask(self.published.view.document, members)
+
     async def _read_host_list(self) -> None:
         if not self._needs_platform():
             return
--- a/src/oriolearch/demo.py
+++ b/src/oriolearch/demo.py
@@ -259,7 +259,7 @@
     steady = len(load.calls)
     _print('Steady', table(load.calls[:steady]))
     server = cluster.servers['order-a1']
-    keys = _keys_of(cluster, server.name)
+    keys = keys_of(cluster, server.name)
     server.standin.stop()
     lost_s = unserved_s(cluster, 'orders', keys)
     pause.wait(SETTLE_S)
@@ -267,7 +267,7 @@
     _print('Keyed server order-a1 lost', table(load.calls[steady:after_server]))
     print(f'{PROBED_KEYS} of its keys were served again after {lost_s:.2f} s')
     cluster.kill_host('a1')
-    lost_s = unserved_s(cluster, 'orders', _keys_of(cluster, 'order-a2'))
+    lost_s = unserved_s(cluster, 'orders', keys_of(cluster, 'order-a2'))
     pause.wait(SETTLE_S)
     load.stop()
     _print('Host a1 (a coordinator) lost', table(load.calls[after_server:]))
@@ -278,7 +278,7 @@
     return list(faults(cluster, load.calls))
 
 
-def _keys_of(cluster: Cluster, name: str) -> set[str]:
+def keys_of(cluster: Cluster, name: str) -> set[str]:
     """Give the keys that a server owns now, of those asked for so far."""
     view = cluster.hosts['b1'].published.view
     pool = view.document.pools[cluster.servers[name].pool]
