Check epochs in the soak and catch grants for an earlier incarnation

A restarted server that takes a grant for its earlier run keeps it for as long as its old clock was ahead; two owners then run orders without any lost or late message (trace `restarts`, phases 1 and 2).

--- a/src/oriolearch/simulation.py
+++ b/src/oriolearch/simulation.py
@@ -8,7 +8,7 @@
 import itertools
 import random
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -132,11 +132,30 @@
             versions.append(old.version + 1)
         return tuple(versions)
 
-    def _check(self, old: StoredRow, new: Any) -> None:
-        if old.row is None or 'term' not in old.row:
+    def _check(self, old: StoredRow, new: Mapping[str, Any]) -> None:
+        if old.row is None:
             return
-        if new['term'] < old.row['term']:
+        if new.get('term', 0) < old.row.get('term', 0):
             raise InvariantError('term-grows', f'{old.row} to {new}')
+        if 'epochs' in new:
+            self._check_epochs(old.row, new)
+
+    def _check_epochs(
+        self,
+        old: Mapping[str, Any],
+        new: Mapping[str, Any],
+    ) -> None:
+        for number, epoch in enumerate(new['epochs']):
+            was = old['epochs'][number]
+            is_moved = _owner(old, number) != _owner(new, number)
+            if epoch < was + is_moved:
+                detail = f'shard {number}: {was} to {epoch}'
+                raise InvariantError('epoch-grows', detail)
+
+
+def _owner(row: Mapping[str, Any], number: int) -> str | None:
+    index = row['shards'][number]
+    return row['owners'][index] if index >= 0 else None
 
 
 class Process:
--- a/src/oriolearch/soak.py
+++ b/src/oriolearch/soak.py
@@ -140,7 +140,11 @@
             (name, host.ref.incarnation, host.is_alive, host.is_paused)
             for name, host in self.cluster.hosts.items()
         ]
-        self.digest.update(repr((self.world.now, state)).encode())
+        held = [
+            (server.is_alive, server.held, server.expires)
+            for server in self.cluster.servers.values()
+        ]
+        self.digest.update(repr((self.world.now, state, held)).encode())
         self.digest.update(repr(self.cluster.table.rows).encode())
 
     def apply(self, step: Step) -> None:
