--- a/src/oriolearch/core/authority.py
+++ b/src/oriolearch/core/authority.py
@@ -40,7 +40,9 @@
 LEASE_RENEW_PERIOD_S = 0.4
 WATCH_PERIOD_S = 0.3
 PROMISE_S = 1.0
-ASK_PERIOD_S = 0.2
+ASK_PERIOD_S = 0.4
+SILENCE_S = 0.5  # a taker watches the rows once the holder is silent so long
+CHECK_PERIOD_S = 5.0  # of the rows by a taker that is asked for promises
 # The zone's own takers, whose watch periods differ, come first.
 ADOPTER_DELAY_S = 0.4
 COMMIT_PATIENCE_S = 0.6  # then a transaction without an answer is repeated
@@ -177,7 +179,7 @@
 
     key: AuthorityKey
     ref: HostRef
-    is_home: bool
+    is_creator: bool
     rows: Rows = field(default_factory=Rows)
     seen_since: float | None = None
     promised_until: float = 0
@@ -238,7 +240,7 @@
             return False
         row = self.rows.authority
         if row is None:
-            return self.is_home
+            return self.is_creator
         if self._is_successor(row.holder):
             return True
         is_watched = now >= self.seen_since + self.watch_s()
@@ -246,7 +248,7 @@
 
     def watch_s(self) -> float:
         """Give the time for which the rows must be unchanged (A3)."""
-        return lengthened(LEASE_S) + (0 if self.is_home else ADOPTER_DELAY_S)
+        return lengthened(LEASE_S) + (0 if self.is_creator else ADOPTER_DELAY_S)
 
     def _can_promise(self, request: PromiseRequest) -> bool:
         is_current = request.term >= max(self.rows.term, 1)
@@ -407,7 +409,7 @@
 class Authority:
     """Both sides for one host; gives effects in answer to events.
 
-    :param is_home: the host runs in the zone; only it may create the rows.
+    :param is_creator: the host runs in the zone; only it may create the rows.
     :param nonces: gives a new unique name of a transaction at each call.
     """
 
@@ -420,11 +422,11 @@
         ref: HostRef,
         nonces: Nonces,
         *,
-        is_home: bool = True,
+        is_creator: bool = True,
     ) -> None:
         self.key = key
         self.ref = ref
-        self.taker = self.taker_type(key, ref, is_home)
+        self.taker = self.taker_type(key, ref, is_creator)
         self.holder: AuthorityHolder | None = None
         self.wanted_takers: tuple[HostRef, ...] = ()
         self._nonces = nonces
@@ -466,7 +468,7 @@
     def tick(self, now: float) -> Effects:
         """Do what is due; call it a few times in each period."""
         effects: Effects = []
-        if now >= self._last_read + WATCH_PERIOD_S and self._is_reading():
+        if now >= self._last_read + self._read_period(now):
             self._last_read = now
             effects.append(ReadRows(self.key))
         if self.holder is not None:
@@ -507,12 +509,16 @@
             self.holder.promised(event)
         return self._tell(event.answered)
 
-    def _is_reading(self) -> bool:
-        # A holder learns the versions from its own renewals.
+    def _read_period(self, now: float) -> float:
         holder = self.holder
-        if holder is None or holder.heir is not None:
-            return True
-        return bool(holder.renewals)
+        if holder is None:
+            # A taker that is asked for promises need not watch, which keeps
+            # the reads of all takers off the platform.
+            is_asked = now < self.taker.promised_until - PROMISE_S + SILENCE_S
+            return CHECK_PERIOD_S if is_asked else WATCH_PERIOD_S
+        # A holder learns the versions from its own renewals.
+        is_known = holder.heir is None and not holder.renewals
+        return math.inf if is_known else WATCH_PERIOD_S
 
     def _see(self, rows: Rows, now: float) -> None:
         if not rows.is_newer(self.rows):
--- a/src/oriolearch/core/coordinator.py
+++ b/src/oriolearch/core/coordinator.py
@@ -360,7 +360,7 @@
         was = server.has_answered, server.is_lost
         if report.failures >= MAX_FAILURES:
             server.is_lost = True
-        elif report.version == server.version and not report.failures:
+        elif report.mandate_version == server.version and not report.failures:
             server.take(report)
         if was != (server.has_answered, server.is_lost):
             term.is_dirty = True
@@ -390,6 +390,19 @@
             changed,
         )
 
+    def share_all(self, known: Revision | None, now: float) -> Share | None:
+        """Give what all hosts are to know, with the mandates of each."""
+        share = self.share(self.authority.ref, known, now)
+        term = self._current(now)
+        if share is None or term is None:
+            return None
+        mandates = tuple(
+            replace(mandate, renewer=host)
+            for host in self.members
+            for mandate in self._mandates(term, host, now)
+        )
+        return replace(share, mandates=mandates)
+
     def working_pools(self, now: float) -> frozenset[str]:
         """Give the pools that have a server here that can take shards."""
         term = self._current(now)
--- a/src/oriolearch/core/grants.py
+++ b/src/oriolearch/core/grants.py
@@ -192,7 +192,7 @@
             self.has_stopped,
             max(end - now, 0),
             self.failures,
-            self.mandate.version,
+            mandate_version=self.mandate.version,
         )
 
     def _is_granting(self, now: float) -> bool:
@@ -279,9 +279,16 @@
         charged = self._charged.get(server, {}).get(host)
         if charged is None or report.term != self.term:
             return
-        floor = report.version + 1 if report.stopped else report.version
+        floor = (
+            report.mandate_version + 1
+            if report.stopped
+            else report.mandate_version
+        )
         end = now + lengthened(report.ends_in_s)
-        if report.confirmed_version == report.version and not report.stopped:
+        if (
+            report.confirmed_version == report.mandate_version
+            and not report.stopped
+        ):
             end = 0  # the server has replaced every earlier list
         if floor < charged.floor:
             return
--- a/src/oriolearch/core/messages.py
+++ b/src/oriolearch/core/messages.py
@@ -92,6 +92,7 @@
     :param version: counts changes of the server's list of grants.
     :param shards: ``(shard, epoch)`` of the whole list.
     :param keys: ``(key, epoch)`` of split keys.
+    :param renewer: the host that it charges; relays pass it on by this.
     """
 
     authority: AuthorityKey
@@ -102,6 +103,7 @@
     duration_s: float
     shards: tuple[tuple[int, int], ...]
     keys: tuple[tuple[str, int], ...] = ()
+    renewer: HostRef | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,12 +111,15 @@
     """What a renewer knows of one server.
 
     :param confirmed_version: version of the list that the server holds.
-    :param stopped: the renewer sends no further renewals of ``version``.
+    :param stopped: the renewer sends no further renewals by its mandate.
     :param ends_in_s: no grant that this renewer gave under an earlier
         version, and when it has stopped none at all, lasts longer.
     :param failures: renewals in a row without an answer.
-    :param version: newest mandate that the renewer holds; it never again
-        sends a list of an earlier one.
+    :param renewer: the host that reports; tells apart an old renewer's
+        statement from the present one's.
+    :param mandate_version: highest version of the mandate that the renewer
+        has seen. Once stopped it never renews under this or a lower version,
+        so a statement that arrives late cannot end a newer mandate.
     """
 
     authority: AuthorityKey
@@ -125,7 +130,8 @@
     stopped: bool
     ends_in_s: float
     failures: int = 0
-    version: int = 0
+    renewer: HostRef | None = None
+    mandate_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,13 +143,43 @@
     rate: float  # requests per second
 
 
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """A host that syncs with a relay.
+
+    :param age_s: time since the relay heard from it.
+    :param leaving: it has begun a planned stop.
+    """
+
+    member: Member
+    age_s: float
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Hint:
+    """Tells a coordinator that it has become the home of a segment."""
+
+    home: AuthorityKey
+    pool: str
+    index: int
+
+
 @dataclass(frozen=True, slots=True)
 class SyncRequest:
     """What a host tells its parent each sync period.
 
     :param known: revision held for each authority.
-    :param outstanding: own requests running on each ``pool/upstream``.
-    :param held: oldest revision by which orders still run (rule G4).
+    :param outstanding: requests running on each ``pool/upstream``, of the
+        sender and of the hosts below it.
+    :param held: oldest revision by which orders still run (rule G4), at the
+        sender or at any host in ``below``; an authority that is absent
+        counts as in ``known``.
+    :param members_digest: digest of the members that the sender knows.
+    :param below: hosts for which this request speaks as well.
+    :param leaving: the sender has begun a planned stop.
+    :param cold: each ``pool/upstream`` found to be cold.
+    :param hints: segments handed to authorities that the receiver holds.
     """
 
     sender: Member
@@ -153,6 +189,11 @@
     outstanding: Mapping[str, int]
     hot_keys: tuple[HotKey, ...] = ()
     reports: tuple[RenewalReport, ...] = ()
+    members_digest: int = 0
+    below: tuple[Heard, ...] = ()
+    leaving: bool = False
+    cold: tuple[str, ...] = ()
+    hints: tuple[Hint, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,9 +202,17 @@
 
     :param document_version: version of the configuration it holds.
     :param document: the whole configuration as JSON when it is newer.
+    :param permits: one for each authority, with duration 0 where no orders
+        may be sent; the revision covers ``segments``.
     :param segments: segments changed since the revision the child knows.
     :param outstanding: requests of the whole group on each upstream.
+    :param members: all live hosts, empty when the child knows the digest.
     :param cold: the host charged with each cold ``pool/upstream``.
+    :param coordinators: holders, sent together with ``members``.
+    :param age_s: time since the newest statement of a coordinator that the
+        sender's state rests on.
+    :param working: by authority that the sender holds, the pools that have a
+        server in its zone that can take shards.
     """
 
     sender: Member
@@ -175,3 +224,11 @@
     outstanding: Mapping[str, int]
     members: tuple[Member, ...]
     cold: Mapping[str, str]
+    members_digest: int = 0
+    coordinators: Mapping[AuthorityKey, HostRef] = field(
+        default_factory=lambda: MappingProxyType({}),
+    )
+    age_s: float = 0.0
+    working: Mapping[AuthorityKey, tuple[str, ...]] = field(
+        default_factory=lambda: MappingProxyType({}),
+    )
--- a/src/oriolearch/simulated.py
+++ b/src/oriolearch/simulated.py
@@ -291,7 +291,7 @@
                 key,
                 ref,
                 self.nonce,
-                is_home=key.zone == zone,
+                is_creator=key.zone == zone,
             )
             for key in cluster.keys()
             if zone in cluster.candidates(key)
