--- a/src/oriolearch/core/messages.py
+++ b/src/oriolearch/core/messages.py
@@ -111,8 +111,9 @@
     """What a renewer knows of one server.
 
     :param confirmed_version: version of the list that the server holds.
-    :param stopped: the renewer sends no further renewals.
-    :param ends_in_s: no grant that this renewer gave lasts longer.
+    :param stopped: the renewer sends no further renewals by its mandate.
+    :param ends_in_s: no grant that this renewer gave under an earlier
+        version, and when it has stopped none at all, lasts longer.
     :param failures: renewals in a row without an answer.
     :param renewer: the host that reports; tells apart an old renewer's
         statement from the present one's.
--- a/src/oriolearch/core/syncing.py
+++ b/src/oriolearch/core/syncing.py
@@ -177,9 +177,9 @@
         segments = self._absorb_segments(answer, stated, problems)
         self._absorb_mandates(answer, asked, problems)
         self._absorb_members(answer, stated)
+        self._absorb_cold(answer)
         refreshed = self.view.refreshed
         if answer.sender.zone == self.own.zone:
-            self.cold = answer.cold
             self.parent_group = answer.outstanding
             refreshed = max(refreshed, asked - answer.age_s)
         self.view = View(
@@ -406,6 +406,30 @@
                 self.mandates.put(mandate.renewer, mandate, end)
         self.mandates.drop(self.revisions, asked)
 
+    def _absorb_cold(self, answer: SyncAnswer) -> None:
+        zone = answer.sender.zone
+        is_own = answer.sender.ref == self.own.ref
+        if zone == self.own.zone and not is_own:
+            self.cold = answer.cold  # a parent speaks of all zones
+            return
+        kept = {
+            name: host
+            for name, host in self.cold.items()
+            if self._zone_of(name) != zone
+        }
+        given = {
+            name: host
+            for name, host in answer.cold.items()
+            if self._zone_of(name) == zone
+        }
+        self.cold = {**kept, **given}
+
+    def _zone_of(self, name: str) -> str | None:
+        pool_name, _, upstream_name = name.partition('/')
+        pool = self.view.document.pools.get(pool_name)
+        upstream = pool.upstream(upstream_name) if pool else None
+        return upstream.zone if upstream else None
+
     def _absorb_members(
         self,
         answer: SyncAnswer,
