Log errors of background tasks and end the host on a broken invariant

The tasks that Authorities and Renewers start dropped their exceptions, a KeyError ended all control tasks of a host while the process waited for a signal, and an InvariantError raised in an answer to a peer was swallowed by grpclib. A Supervisor now logs each of them as event 304, or as 114 for a broken invariant, upon which the control tasks end and `oriolearch run` exits with status 1.

A malformed address of a peer and a refusal by one peer stopped the sync with all peers; they are now passed over with event 303. The address of a peer must be an IP number and a port. An answer that is no protobuf message is a PeerError.

--- a/src/oriolearch/adapters/peers.py
+++ b/src/oriolearch/adapters/peers.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import ipaddress
 import json
 import logging
 import socket
@@ -14,6 +15,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol, TypeVar
 
+from google.protobuf.message import DecodeError
 from grpclib.client import Channel
 from grpclib.client import Stream as ClientStream
 from grpclib.config import Configuration
@@ -33,11 +35,18 @@
 )
 
 CALL_TIMEOUT_S = 0.2  # one sync period; the next candidate is asked after it
+MAX_PORT = 65535
 UNUSED_LIMIT_S = 30.0
 WINDOW_BYTES = 4 * 1024 * 1024  # a full answer passes without flow control
 
 _Answer = TypeVar('_Answer')
-_FAILURES = (GRPCError, OSError, ProtocolError, StreamTerminatedError)
+_FAILURES = (
+    DecodeError,
+    GRPCError,
+    OSError,
+    ProtocolError,
+    StreamTerminatedError,
+)
 _log = logging.getLogger(__name__)
 
 
@@ -189,6 +198,20 @@
                 question.reply.set_exception(error)
 
 
+def _split_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(':')
+    host = host.strip('[]')
+    try:
+        ipaddress.ip_address(host)
+        number = int(port)
+    except ValueError:
+        number = 0
+    if not 0 < number <= MAX_PORT:
+        reason = 'must be an IP number and a port'
+        raise ValidationError('peer client', 'address', address, reason)
+    return host, number
+
+
 class PeerClient:
     """One open connection to another host.
 
@@ -197,16 +220,11 @@
     """
 
     def __init__(self, address: str, timeout_s: float = CALL_TIMEOUT_S) -> None:
-        host, _, port = address.rpartition(':')
-        if not host or not port.isdigit():
-            reason = 'must be host:port'
-            raise ValidationError('peer client', 'address', address, reason)
+        host, port = _split_address(address)
         self.address = address
         self.timeout_s = timeout_s
         self.calls = 0
-        self.channel = Channel(
-            host.strip('[]'), int(port), config=_configuration()
-        )
+        self.channel = Channel(host, port, config=_configuration())
         self.stub = PeerStub(self.channel)
         self.stream: _SyncStream | None = None
 
--- a/src/oriolearch/authorities.py
+++ b/src/oriolearch/authorities.py
@@ -4,19 +4,16 @@
 :mod:`oriolearch.core.coordinator` and carries out their effects.
 """
 
-import asyncio
 import uuid
 from collections.abc import (
     Collection,
-    Coroutine,
     Iterable,
     Iterator,
     Mapping,
 )
-from typing import Any
 
 from oriolearch.adapters.peers import PeerClients
-from oriolearch.adapters.telemetry import Event, EventLog
+from oriolearch.adapters.telemetry import Event
 from oriolearch.core import authority as lease
 from oriolearch.core import coordinator as duties
 from oriolearch.core.authority import Authority, Promised, choose_takers
@@ -40,6 +37,7 @@
 from oriolearch.core.segments import SegmentKey, segment_row_key
 from oriolearch.platform_calls import PlatformCalls
 from oriolearch.ports import Clock
+from oriolearch.supervision import Supervisor
 
 TAKERS_PER_ZONE = 2
 RETURN_DELAY_S = 3.0  # a zone that is back gets its authority after this time
@@ -60,7 +58,7 @@
         calls: PlatformCalls,
         peers: PeerClients,
         planner: Planner,
-        events: EventLog,
+        supervisor: Supervisor,
     ) -> None:
         self.own = own
         self.adopters = adopters
@@ -68,7 +66,8 @@
         self.calls = calls
         self.peers = peers
         self.planner = planner
-        self.events = events
+        self.events = supervisor.events
+        self.supervisor = supervisor
         self.members: dict[HostRef, Member] = {}
         self.zone_of: dict[str, str] = {}
         self.hints: set[tuple[AuthorityKey, SegmentKey]] = set()
@@ -80,7 +79,6 @@
         }
         self.homes: dict[tuple[str, str], float] = {}
         self.home_mobility: dict[tuple[str, str], Mobility] = {}
-        self.tasks: set[asyncio.Task[None]] = set()
 
     def held(self, now: float) -> list[AuthorityKey]:
         """List the authorities that are in force here now."""
@@ -257,11 +255,6 @@
                 machine.hand_over(heirs[0], machine.wanted_takers)
         return is_done
 
-    def close(self) -> None:
-        """End all calls that run."""
-        for task in self.tasks:
-            task.cancel()
-
     def _keys(self) -> Iterator[AuthorityKey]:
         for mobility in Mobility:
             yield AuthorityKey(self.own.zone, mobility)
@@ -287,20 +280,15 @@
             return [key.zone]
         return [key.zone, str(adopter)]
 
-    def _start(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
     def _perform(self, machine: Authority, effects: lease.Effects) -> None:
         for effect in effects:
             match effect:
                 case lease.ReadRows():
-                    self._start(self._read_rows(machine))
+                    self.supervisor.start(self._read_rows(machine))
                 case Commit():
-                    self._start(self._commit(machine, effect))
+                    self.supervisor.start(self._commit(machine, effect))
                 case lease.AskPromise():
-                    self._start(self._ask(machine, effect))
+                    self.supervisor.start(self._ask(machine, effect))
                 case lease.Gained():
                     self._announce(Event.AUTHORITY_GAINED, machine, effect.term)
                 case lease.Lost():
@@ -350,11 +338,13 @@
         for effect in effects:
             match effect:
                 case Commit():
-                    self._start(self._write(duty, effect))
+                    self.supervisor.start(self._write(duty, effect))
                 case duties.ScanSegments():
-                    self._start(self._scan(duty))
+                    self.supervisor.start(self._scan(duty))
                 case duties.ReadSegment():
-                    self._start(self._read_segment(duty, effect.segment))
+                    self.supervisor.start(
+                        self._read_segment(duty, effect.segment)
+                    )
                 case duties.HintSegment():
                     self.hints.add((effect.home, effect.segment))
 
--- a/src/oriolearch/cli.py
+++ b/src/oriolearch/cli.py
@@ -302,7 +302,13 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     await host.start()
-    await stopped.wait()
+    stopping = asyncio.create_task(stopped.wait())
+    failing = asyncio.create_task(host.wait_failed())
+    await asyncio.wait((stopping, failing), return_when=asyncio.FIRST_COMPLETED)
+    if failing.done():
+        await host.kill()
+        raise cappa.Exit(str(failing.exception()), code=1)
+    failing.cancel()
     await host.stop()
 
 
--- a/src/oriolearch/control.py
+++ b/src/oriolearch/control.py
@@ -15,7 +15,7 @@
     Iterator,
     Mapping,
 )
-from contextlib import suppress
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass, replace
 from typing import Any, Protocol, TypeVar
 
@@ -29,11 +29,10 @@
 from oriolearch.core import configuration
 from oriolearch.core.coordinator import Move
 from oriolearch.core.errors import (
-    InvariantError,
-    OriolearchError,
     PeerError,
     PlatformError,
     StaleError,
+    ValidationError,
 )
 from oriolearch.core.membership import Charges, Membership, SyncTree
 from oriolearch.core.messages import (
@@ -53,6 +52,7 @@
 from oriolearch.renewing import Renewers
 from oriolearch.schema import document_json, read_document
 from oriolearch.settings import Settings
+from oriolearch.supervision import Supervisor
 
 SYNC_PERIOD_S = 0.2
 TICK_S = 0.05
@@ -105,6 +105,7 @@
     published: Published
     entry: Entry
     renewers: Renewers
+    supervisor: Supervisor
 
 
 def by_pool(counts: Mapping[str, _Entry]) -> dict[str, dict[str, _Entry]]:
@@ -136,6 +137,7 @@
         self.entry = ports.entry
         self.rng = rng
         self.events = events
+        self.supervisor = ports.supervisor
         self.calls = PlatformCalls(ports.platform)
         self.peers = PeerClients(clock.monotonic)
         self.keeper = SyncKeeper(own, parse_document)
@@ -148,7 +150,7 @@
             self.calls,
             self.peers,
             ZonePlanner(),
-            events,
+            ports.supervisor,
         )
         self.renewers = ports.renewers
         self.listed: tuple[HostEntry, ...] = ()
@@ -162,8 +164,9 @@
         self.tasks: list[asyncio.Task[None]] = []
 
     async def run(self) -> None:
-        """Run all tasks until cancelled."""
+        """Run all tasks until cancelled or until an invariant is broken."""
         async with asyncio.TaskGroup() as group:
+            group.create_task(self.supervisor.wait_broken())
             group.create_task(self._run_sync())
             for period_s, work in (
                 (TICK_S, self._tick),
@@ -177,18 +180,13 @@
 
         :raises StaleError: when the request is of an old incarnation.
         """
-        now = self.clock.monotonic()
-        self.keeper.hear(request, now)
-        self.membership.hear_request(request, now)
-        for hint in request.hints:
-            self.authorities.hinted(hint.home, (hint.pool, hint.index))
-        if now >= self.stated + TICK_S:
-            self._state(now)  # other zones get permits that are not yet old
-        return self.keeper.answer(request, now)
+        with self.supervisor.watched():
+            return self._answer(request)
 
     async def promise(self, request: PromiseRequest) -> PromiseAnswer:
         """Answer the holder of an authority as its taker."""
-        return self.authorities.promise(request)
+        with self.supervisor.watched():
+            return self.authorities.promise(request)
 
     def leave(self) -> None:
         """Begin a planned stop: take no new roles."""
@@ -204,7 +202,7 @@
 
     async def close(self) -> None:
         """Close all connections; the tasks have ended."""
-        self.authorities.close()
+        self.supervisor.close()
         self.renewers.close()
         self.peers.close()
         self.calls.close()
@@ -248,10 +246,8 @@
             started = self.clock.monotonic()
             try:
                 await work()
-            except InvariantError:
-                raise
-            except OriolearchError as error:
-                self.events.emit(Event.CONTROL_FAILED, error=str(error))
+            except Exception as error:
+                self.supervisor.failed(error)
             spent = self.clock.monotonic() - started
             await asyncio.sleep(max(period_s - spent, 0))
 
@@ -264,12 +260,34 @@
         while True:
             try:
                 await self._sync()
-            except InvariantError:
-                raise
-            except OriolearchError as error:
-                self.events.emit(Event.CONTROL_FAILED, error=str(error))
+            except Exception as error:
+                self.supervisor.failed(error)
             await asyncio.sleep(self._pause_s())
 
+    def _answer(self, request: SyncRequest) -> SyncAnswer:
+        now = self.clock.monotonic()
+        self.keeper.hear(request, now)
+        self.membership.hear_request(request, now)
+        for hint in request.hints:
+            self.authorities.hinted(hint.home, (hint.pool, hint.index))
+        if now >= self.stated + TICK_S:
+            self._state(now)  # other zones get permits that are not yet old
+        return self.keeper.answer(request, now)
+
+    @contextmanager
+    def _ignored(self, address: str) -> Iterator[None]:
+        """Go on without a peer that gives no answer or a bad one."""
+        try:
+            yield
+        except PeerError:
+            return
+        except (StaleError, ValidationError) as error:
+            self.events.emit(
+                Event.SYNC_IGNORED,
+                sender=address,
+                error=str(error),
+            )
+
     def _pause_s(self) -> float:
         now = self.clock.monotonic()
         if self._is_root(self.authorities.held(now)):
@@ -422,7 +440,7 @@
             for home, segment in self.authorities.hints
             if home in keys
         )
-        with suppress(PeerError):
+        with self._ignored(address):
             answer = await self.peers.get(address).sync(
                 replace(request, hints=hints),
             )
@@ -438,7 +456,7 @@
         for address in self._parents():
             now = self.clock.monotonic()
             request = self.keeper.request(own_state, now)
-            with suppress(PeerError):
+            with self._ignored(address):
                 answer = await self.peers.get(address).sync(request)
                 self._absorb(answer, now)
                 if answer.age_s < PARENT_PATIENCE_S and answer.permits:
--- a/src/oriolearch/host.py
+++ b/src/oriolearch/host.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import threading
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from contextlib import suppress
 from typing import Any
 
@@ -23,6 +23,7 @@
 from oriolearch.ports import Clock
 from oriolearch.renewing import Renewers
 from oriolearch.settings import Settings
+from oriolearch.supervision import Supervisor
 
 DRAIN_S = 2.0  # time that the balancer needs to notice a host that leaves
 
@@ -33,6 +34,14 @@
     return host.strip('[]'), int(port)
 
 
+def _call_soon(
+    loop: asyncio.AbstractEventLoop,
+    work: Callable[[], None],
+) -> None:
+    with suppress(RuntimeError):  # the loop is closed, the process ends
+        loop.call_soon_threadsafe(work)
+
+
 class HostAdministration:
     """Gives operators what one host knows and lets them edit."""
 
@@ -115,7 +124,8 @@
         )
         self.published = Published(View())
         self.telemetry = make_telemetry(settings.host.name, self.rng)
-        self.renewers = Renewers(self.own.ref, self.clock)
+        self.supervisor = Supervisor(self.telemetry.events)
+        self.renewers = Renewers(self.own.ref, self.clock, self.supervisor)
         self.entry = self._make_entry()
         ports = ControlPorts(
             self.own,
@@ -126,6 +136,7 @@
             self.published,
             self.entry,
             self.renewers,
+            self.supervisor,
         )
         self.control = Control(ports, self.rng)
         self.peer_server: PeerServer | None = None
@@ -144,9 +155,22 @@
         await self.peer_server.start(*split_address(self.own.address))
         self.admin.prepare()
         self.admin_thread.start()
+        loop = asyncio.get_running_loop()
+        self.entry.on_fatal = lambda error: _call_soon(
+            loop,
+            lambda: self.supervisor.broken.put_nowait(error),
+        )
         self.entry.open()
         self.task = asyncio.create_task(self.control.run())
 
+    async def wait_failed(self) -> None:
+        """Wait until the control tasks end by themselves.
+
+        :raises ExceptionGroup: with the error that ended them.
+        """
+        if self.task is not None:
+            await asyncio.shield(self.task)
+
     async def stop(self) -> None:
         """Stop as planned: finish every request and hand over the roles."""
         limit_s = self.settings.entry.stop_limit_s
@@ -184,8 +208,7 @@
     async def _close(self) -> None:
         if self.task is not None:
             self.task.cancel()
-            with suppress(asyncio.CancelledError):
-                await self.task
+            await asyncio.wait((self.task,))
         await self.control.close()
         if self.peer_server is not None:
             await self.peer_server.stop()
--- a/src/oriolearch/renewing.py
+++ b/src/oriolearch/renewing.py
@@ -1,9 +1,8 @@
 """The renewer task: prolongs the grants of servers by mandate."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
-from typing import Any
 
 from oriolearch.adapters.exchange import ServerClock
 from oriolearch.adapters.grants import GrantClient
@@ -26,6 +25,7 @@
 )
 from oriolearch.core.syncing import HeldMandate
 from oriolearch.ports import Clock
+from oriolearch.supervision import Supervisor
 
 CALL_TIMEOUT_S = 0.2  # one renewal period
 CLOCK_PERIOD_S = 5.0  # the rate margin of a reading this old is 50 ms
@@ -43,16 +43,18 @@
     :ivar clocks: newest reading by name of the server.
     """
 
-    def __init__(self, own: HostRef, clock: Clock) -> None:
+    def __init__(
+        self, own: HostRef, clock: Clock, supervisor: Supervisor
+    ) -> None:
         self.own = own
         self.clock = clock
+        self.supervisor = supervisor
         self.machines: dict[ServerKey, Renewer] = {}
         self.clients: dict[str, GrantClient] = {}
         self.servers: dict[ServerKey, Upstream] = {}
         self.unchecked: set[ServerKey] = set()
         self.clocks: dict[str, ServerClock] = {}
         self.clock_due: dict[ServerKey, float] = {}
-        self.tasks: set[asyncio.Task[None]] = set()
         self.threads = ThreadPoolExecutor(THREADS, 'renewer')
 
     def configure(self, document: Document) -> None:
@@ -85,11 +87,13 @@
         for key, machine in self.machines.items():
             effect = machine.tick(now)
             if effect is not None:
-                self._start(self._carry_out(key, machine, effect, now))
+                self.supervisor.start(
+                    self._carry_out(key, machine, effect, now)
+                )
         for key in self.unchecked:
             if now >= self.clock_due.get(key, 0):
                 self.clock_due[key] = now + CLOCK_PERIOD_S
-                self._start(self._read_clock(key))
+                self.supervisor.start(self._read_clock(key))
 
     def reports(self) -> tuple[RenewalReport, ...]:
         """Give what the coordinators should know."""
@@ -99,8 +103,6 @@
 
     def close(self) -> None:
         """End all calls that run."""
-        for task in self.tasks:
-            task.cancel()
         self.threads.shutdown(wait=False, cancel_futures=True)
         for client in self.clients.values():
             client.close()
@@ -113,11 +115,6 @@
             self.machines[key] = machine
         return machine
 
-    def _start(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
     def _client(self, key: ServerKey) -> GrantClient:
         address = self.servers[key].address
         client = self.clients.get(address)
--- /dev/null
+++ b/tests/test_supervision.py
@@ -0,0 +1,149 @@
+"""What a host does with an error that no caller waits for."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from oriolearch.adapters.telemetry import EventLog
+from oriolearch.cluster import free_addresses
+from oriolearch.core.errors import InvariantError, StaleError, ValidationError
+from oriolearch.host import Host
+from oriolearch.settings import Settings
+from oriolearch.supervision import Supervisor
+
+WAIT_S = 20
+
+
+def make_host() -> Host:
+    """Give a host whose platform does not answer."""
+    names = ('entry', 'peers', 'admin', 'platform')
+    fields: dict[str, Any] = {
+        name: {'address': address}
+        for name, address in zip(names, free_addresses(4), strict=True)
+    }
+    fields['admin'] |= {'tokens': [{'name': 'ann', 'sha256': '0' * 64}]}
+    zones = [{'name': 'a', 'region': 'r'}]
+    host = {'name': 'h', 'zone': 'a'}
+    return Host(
+        Settings.model_validate({**fields, 'host': host, 'zones': zones}),
+    )
+
+
+def numbers(caplog: pytest.LogCaptureFixture) -> list[int]:
+    """Give the numbers of the events in the log."""
+    return [getattr(record, 'number', 0) for record in caplog.records]
+
+
+@pytest.mark.parametrize(
+    ('error', 'number', 'is_fatal'),
+    [
+        (KeyError('holder'), 304, False),
+        (ValidationError('row', 'term', 'x', 'no number'), 304, False),
+        (InvariantError('promise-kept', 'x'), 114, True),
+    ],
+    ids=['outside the tree', 'bad row', 'invariant'],
+)
+def test_error_of_a_background_task_is_logged(
+    caplog: pytest.LogCaptureFixture,
+    error: Exception,
+    number: int,
+    is_fatal: bool,
+) -> None:
+    """The error of a task that nothing awaits was lost without an event."""
+
+    async def work() -> None:
+        raise error
+
+    async def run() -> None:
+        supervisor = Supervisor(EventLog())
+        supervisor.start(work())
+        while supervisor.tasks:
+            await asyncio.sleep(0)
+        assert supervisor.broken.empty() is not is_fatal
+
+    with caplog.at_level(logging.INFO):
+        asyncio.run(run())
+    assert numbers(caplog) == [number]
+
+
+def test_only_refusals_of_a_peer_are_not_logged(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """An invariant broken in an answer to a peer left the process running."""
+    supervisor = Supervisor(EventLog())
+    for error in (StaleError('term', 1, 2), InvariantError('i', 'd')):
+        with pytest.raises(type(error)), supervisor.watched():
+            raise error
+    assert numbers(caplog) == [114]
+    assert not supervisor.broken.empty()
+
+
+def _tell_entry(host: Host) -> None:
+    error = InvariantError('at-most-once', 'detail')
+    host.entry._report_error(error)
+
+
+def _tell_tasks(host: Host) -> None:
+    async def work() -> None:
+        raise InvariantError('single-owner', 'detail')
+
+    host.supervisor.start(work())
+
+
+@pytest.mark.parametrize('tell', [_tell_entry, _tell_tasks])
+def test_broken_invariant_ends_the_host(tell: Callable[[Host], None]) -> None:
+    """The control tasks ended, but the process waited for a signal."""
+
+    async def run() -> None:
+        host = make_host()
+        await host.start()
+        tell(host)
+        async with asyncio.timeout(WAIT_S):
+            with pytest.raises(ExceptionGroup) as caught:
+                await host.wait_failed()
+        assert caught.group_contains(InvariantError)
+        await host.kill()
+
+    asyncio.run(run())
+
+
+def test_error_outside_the_tree_does_not_end_the_tasks(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """A KeyError in one task ended all control tasks of the host."""
+
+    async def run() -> None:
+        host = make_host()
+        done = asyncio.Event()
+
+        async def work() -> None:
+            if 304 in numbers(caplog):
+                done.set()
+            raise KeyError('x')
+
+        task = asyncio.create_task(host.control._repeat(0, work))
+        async with asyncio.timeout(WAIT_S):
+            await done.wait()
+        assert not task.done()
+        task.cancel()
+
+    with caplog.at_level(logging.INFO):
+        asyncio.run(run())
+
+
+def test_bad_address_of_a_peer_is_passed_over(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """One bad entry of the host list stopped the syncs with all zones."""
+
+    async def run() -> None:
+        host = make_host()
+        for address in ('nonsense', '127.0.0.1:99999', 'a..b:1', '127.0.0.1:²'):
+            await host.control._exchange_with(address, [])
+
+    with caplog.at_level(logging.INFO):
+        asyncio.run(run())
+    assert numbers(caplog) == [303, 303, 303, 303]
