Check every field of stored rows and bound the errors that show them

- A segment row with an owner number below -1 gave a shard to the wrong owner, and one without 256 shards failed later in the coordinator.
Rows of segments, authorities and leases are now checked field by field; numbers fit into peer messages.
- One segment row that cannot be read stopped a coordinator's scan, and with it the whole zone.
- config/head without a whole number ended in a KeyError or ValueError.
- Errors showed digests of tokens when the fault was beside them, for example a token without a name.
They are hidden at any depth.
- Errors show at most some hundred characters of a value; showing an integer of more than 4300 digits raised ValueError.
- The limit of the history was read from its first six digits only, so that passed.
- Addresses with a port above 65535 or no IP number are refused.

--- a/src/oriolearch/adapters/admin.py
+++ b/src/oriolearch/adapters/admin.py
@@ -32,6 +32,7 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_HEADER_BYTES = 16 * 1024
 HISTORY_LIMIT = 1000
+LIMIT_DIGITS = 6
 JSON_TYPE = 'application/json'
 PROBLEM_TYPE = 'application/problem+json'
 TEXT_TYPE = 'text/plain; version=0.0.4'
@@ -185,14 +186,12 @@
         """Show the latest edits with who and when."""
         query = parse_qs(environ.get('QUERY_STRING', ''))
         raw_limit = query.get('limit', ['20'])[0]
-        if (
-            not raw_limit.isdecimal()
-            or not 1 <= int(raw_limit[:6]) <= HISTORY_LIMIT
-        ):
+        is_number = raw_limit.isdecimal() and len(raw_limit) <= LIMIT_DIGITS
+        if not is_number or not 1 <= int(raw_limit) <= HISTORY_LIMIT:
             raise ValidationError(
                 'query',
                 'limit',
-                raw_limit,
+                raw_limit[:20],
                 f'must be a number from 1 to {HISTORY_LIMIT}',
             )
         changes = self.administration.history(int(raw_limit))
--- a/src/oriolearch/adapters/config_table.py
+++ b/src/oriolearch/adapters/config_table.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import logging
 import uuid
 from collections.abc import Iterable
 
@@ -26,13 +27,20 @@
     VersionedRow,
     Write,
 )
-from oriolearch.schema import ChangeModel, change_json, document_json, parse
-from oriolearch.schema import read_document
+from oriolearch.schema import (
+    ChangeModel,
+    HeadModel,
+    change_json,
+    document_json,
+    parse,
+    read_document,
+)
 
 HEAD_TABLE = 'config'
 HEAD_KEY = 'head'
 CHANGES_TABLE = 'config.changes'
 SNAPSHOT_INTERVAL = 100  # versions between two snapshots
+_log = logging.getLogger(__name__)
 
 
 def _change_key(version: int) -> str:
@@ -186,7 +194,16 @@
         blob = self.objects.get(_snapshot_name(number))
         if blob is None:
             return known
-        return configuration.newest(known, read_document('snapshot', blob))
+        try:
+            snapshot = read_document(_snapshot_name(number), blob)
+        except ValidationError as error:
+            # The change rows still hold everything.
+            _log.warning('snapshot is passed over: %s', error)
+            return known
+        if snapshot.version != number:
+            _log.warning('snapshot %d has version %d', number, snapshot.version)
+            return known
+        return configuration.newest(known, snapshot)
 
     def _store_snapshot(self, document: Document) -> None:
         blob = json.dumps(document_json(document)).encode()
@@ -198,4 +215,7 @@
 
 
 def _head_version(head: VersionedRow) -> int:
-    return int(head.row['version']) if head.row else 0
+    if head.row is None:
+        return 0
+    source = f'{HEAD_TABLE}/{HEAD_KEY}'
+    return parse(HeadModel, source, head.row).version
--- a/src/oriolearch/authorities.py
+++ b/src/oriolearch/authorities.py
@@ -357,7 +357,8 @@
         asked = self.clock.monotonic()
         rows = await self.calls.scan(SEGMENT_TABLE)
         if rows is not None:
-            duty.scanned(asked, rows, self.clock.monotonic())
+            for fault in duty.scanned(asked, rows, self.clock.monotonic()):
+                self.supervisor.failed(fault)
 
     async def _read_segment(
         self,
--- a/src/oriolearch/core/coordinator.py
+++ b/src/oriolearch/core/coordinator.py
@@ -14,7 +14,7 @@
 from typing import Protocol
 
 from oriolearch.core.authority import COMMIT_PATIENCE_S, Authority, Nonces
-from oriolearch.core.errors import InvariantError
+from oriolearch.core.errors import InvariantError, ValidationError
 from oriolearch.core.grants import MAX_FAILURES, PERMIT_S, Granter, ServerKey
 from oriolearch.core.messages import (
     AuthorityKey,
@@ -297,14 +297,24 @@
         asked: float,
         rows: Mapping[str, StoredRow],
         now: float,
-    ) -> None:
-        """Take in all segment rows; only a scan of this term counts."""
+    ) -> list[ValidationError]:
+        """Take in all segment rows; only a scan of this term counts.
+
+        Rows that cannot be read are passed over and give the result. They
+        are never overwritten, since a write of their segment is conditional
+        on a version that was read.
+        """
         term = self._current(now)
         if term is None or asked < term.granter.began:
-            return
+            return []
+        faults = []
         for name, stored in rows.items():
-            self._absorb(term, parse_segment_row_key(name), stored)
+            try:
+                self._absorb(term, parse_segment_row_key(name), stored)
+            except ValidationError as error:
+                faults.append(error)
         term.is_recovered = True
+        return faults
 
     def read(self, key: SegmentKey, stored: StoredRow, now: float) -> None:
         """Take in one segment row."""
--- a/src/oriolearch/core/errors.py
+++ b/src/oriolearch/core/errors.py
@@ -4,6 +4,22 @@
 package derives from :class:`OriolearchError`.
 """
 
+from reprlib import Repr
+
+
+_SHOWN = Repr()
+_SHOWN.maxstring = 200
+_SHOWN.maxother = 200
+_SHOWN.maxlist = _SHOWN.maxtuple = _SHOWN.maxdict = 20
+
+
+def _shown(given: object) -> str:
+    """Give a bounded text of a value; it may be deep or have many digits."""
+    try:
+        return _SHOWN.repr(given)
+    except ValueError:  # an integer with more than 4300 digits
+        return f'a value of type {type(given).__name__}'
+
 
 class OriolearchError(Exception):
     """Base of all errors of the package."""
@@ -25,7 +41,7 @@
         value: object,
         reason: str,
     ) -> None:
-        super().__init__(f'{source}: {field}: {reason}, got {value!r}')
+        super().__init__(f'{source}: {field}: {reason}, got {_shown(value)}')
         self.source = source
         self.field = field
         self.value = value
--- a/src/oriolearch/core/rows.py
+++ b/src/oriolearch/core/rows.py
@@ -11,6 +11,7 @@
 AUTHORITY_TABLE = 'authority'
 LEASE_TABLE = 'lease'
 SEGMENT_TABLE = 'segments'
+MAX_NUMBER = 2**63 - 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,10 +105,74 @@
     return f'{key.zone}/{key.mobility}'
 
 
+def read_authority_key(source: str, given: object) -> AuthorityKey:
+    """Check a zone with a mobility class.
+
+    :raises ValidationError: when it is not a list of these two.
+    """
+    parts = read_list(source, 'home', given)
+    if len(parts) != 2 or parts[1] not in list(Mobility) or not parts[0]:
+        reason = 'must be a zone and a mobility class'
+        raise ValidationError(source, 'home', given, reason)
+    return AuthorityKey(
+        read_text(source, 'home', parts[0]),
+        Mobility(parts[1]),
+    )
+
+
 def parse_row_key(text: str) -> AuthorityKey:
-    """Read an authority key as :func:`row_key` writes it."""
+    """Read an authority key as :func:`row_key` writes it.
+
+    :raises ValidationError: for any other text.
+    """
     zone, _, mobility = text.rpartition('/')
-    return AuthorityKey(zone, Mobility(mobility))
+    return read_authority_key('authority key', [zone, mobility])
+
+
+def read_number(source: str, field: str, given: object) -> int:
+    """Check a version, term, epoch or incarnation.
+
+    :raises ValidationError: when it is not a number that peers can carry.
+    """
+    if type(given) is not int or not 0 <= given <= MAX_NUMBER:  # noqa: WPS516
+        reason = 'must be a whole number from 0 to 2^63 - 1'
+        raise ValidationError(source, field, given, reason)
+    return given
+
+
+def read_text(source: str, field: str, given: object) -> str:
+    """Check a name or nonce.
+
+    :raises ValidationError: when it is not a text that peers can carry.
+    """
+    if not isinstance(given, str):
+        raise ValidationError(source, field, given, 'must be a text')
+    try:
+        given.encode()
+    except UnicodeEncodeError as error:
+        raise ValidationError(source, field, given, str(error)) from error
+    return given
+
+
+def read_list(source: str, field: str, given: object) -> list[Any]:
+    """Check a list.
+
+    :raises ValidationError: when it is none.
+    """
+    if not isinstance(given, list):
+        raise ValidationError(source, field, given, 'must be a list')
+    return given
+
+
+def _read_ref(source: str, field: str, given: object) -> HostRef:
+    parts = read_list(source, field, given)
+    if len(parts) != 2:
+        reason = 'must be a host and its incarnation'
+        raise ValidationError(source, field, given, reason)
+    return HostRef(
+        read_text(source, field, parts[0]),
+        read_number(source, field, parts[1]),
+    )
 
 
 def encode_authority(row: AuthorityRow) -> dict[str, Any]:
@@ -125,15 +190,13 @@
 
     :raises ValidationError: when a field is missing or has another type.
     """
-    try:
-        return AuthorityRow(
-            HostRef(str(row['holder'][0]), int(row['holder'][1])),
-            int(row['term']),
-            tuple(HostRef(str(name), int(inc)) for name, inc in row['takers']),
-            str(row['nonce']),
-        )
-    except (LookupError, TypeError, ValueError) as error:
-        raise ValidationError(source, 'authority', row, str(error)) from error
+    takers = read_list(source, 'takers', row.get('takers'))
+    return AuthorityRow(
+        _read_ref(source, 'holder', row.get('holder')),
+        read_number(source, 'term', row.get('term')),
+        tuple(_read_ref(source, 'takers', taker) for taker in takers),
+        read_text(source, 'nonce', row.get('nonce')),
+    )
 
 
 def encode_lease(row: LeaseRow) -> dict[str, Any]:
@@ -146,6 +209,4 @@
 
     :raises ValidationError: when the renewal is missing.
     """
-    if 'renewal' not in row:
-        raise ValidationError(source, 'renewal', row, 'missing')
-    return LeaseRow(str(row['renewal']))
+    return LeaseRow(read_text(source, 'renewal', row.get('renewal')))
--- a/src/oriolearch/core/segments.py
+++ b/src/oriolearch/core/segments.py
@@ -7,11 +7,12 @@
 
 from oriolearch.core.errors import ValidationError
 from oriolearch.core.messages import AuthorityKey, Segment
-from oriolearch.core.model import (
-    SHARDS_PER_SEGMENT,
-    Assignment,
-    Mobility,
-    Pool,
+from oriolearch.core.model import SHARDS_PER_SEGMENT, Assignment, Pool
+from oriolearch.core.rows import (
+    read_authority_key,
+    read_list,
+    read_number,
+    read_text,
 )
 
 SegmentKey = tuple[str, int]  # pool and segment index
@@ -24,8 +25,15 @@
 
 
 def parse_segment_row_key(text: str) -> SegmentKey:
-    """Read a key as :func:`segment_row_key` writes it."""
+    """Read a key as :func:`segment_row_key` writes it.
+
+    :raises ValidationError: for any other text.
+    """
     pool, _, index = text.rpartition('/')
+    is_number = index.isascii() and index.isdecimal()
+    if not is_number or segment_row_key((pool, int(index[:9]))) != text:
+        reason = 'must be a pool and a segment number of 5 digits'
+        raise ValidationError('segments', 'key', text, reason)
     return pool, int(index)
 
 
@@ -58,20 +66,51 @@
     :raises ValidationError: when a field is missing or does not fit.
     """
     source = f'{key[0]}/{key[1]}'
-    try:
-        owners = [*row['owners'], None]
-        shards = tuple(
-            Assignment(owners[number], int(epoch))
-            for number, epoch in zip(row['shards'], row['epochs'], strict=True)
-        )
-        keys = {
-            name: Assignment(owners[number], int(epoch))
-            for name, (number, epoch) in row['keys'].items()
-        }
-        home = AuthorityKey(str(row['home'][0]), Mobility(row['home'][1]))
-    except (LookupError, TypeError, ValueError) as error:
-        raise ValidationError(source, 'segment', row, str(error)) from error
-    return Segment(key[0], key[1], home, version, shards, keys)
+    names = read_list(source, 'owners', row.get('owners'))
+    owners = [read_text(source, 'owners', name) for name in names]
+    shards = read_list(source, 'shards', row.get('shards'))
+    epochs = read_list(source, 'epochs', row.get('epochs'))
+    if not len(shards) == len(epochs) == SHARDS_PER_SEGMENT:
+        lengths = len(shards), len(epochs)
+        reason = f'must be {SHARDS_PER_SEGMENT} shards with their epochs'
+        raise ValidationError(source, 'shards', lengths, reason)
+    keys = row.get('keys')
+    if not isinstance(keys, Mapping):
+        raise ValidationError(source, 'keys', keys, 'must be an object')
+    return Segment(
+        key[0],
+        key[1],
+        read_authority_key(source, row.get('home')),
+        version,
+        tuple(
+            _read_assignment(source, 'shards', owners, pair)
+            for pair in zip(shards, epochs, strict=True)
+        ),
+        {
+            read_text(source, 'keys', name): _read_assignment(
+                source, 'keys', owners, pair
+            )
+            for name, pair in keys.items()
+        },
+    )
+
+
+def _read_assignment(
+    source: str,
+    field: str,
+    owners: list[str],
+    pair: object,
+) -> Assignment:
+    if not isinstance(pair, list | tuple) or len(pair) != 2:
+        reason = 'must be the number of an owner and an epoch'
+        raise ValidationError(source, field, pair, reason)
+    number, epoch = pair
+    if type(number) is not int or not NO_OWNER <= number < len(owners):  # noqa: WPS516
+        raise ValidationError(source, field, number, 'is no owner of the row')
+    return Assignment(
+        None if number == NO_OWNER else owners[number],
+        read_number(source, field, epoch),
+    )
 
 
 def new_segment(key: SegmentKey, home: AuthorityKey) -> Segment:
--- a/src/oriolearch/schema.py
+++ b/src/oriolearch/schema.py
@@ -1,5 +1,6 @@
 """Checked models of configuration as operators and the platform write it."""
 
+import ipaddress
 import json
 from collections.abc import Mapping
 from types import MappingProxyType
@@ -11,10 +12,28 @@
 from oriolearch.core import configuration, model
 from oriolearch.core.errors import ValidationError
 
-SECRET_FIELD = 'sha256'  # a token put there by mistake is not shown
+SECRET_FIELDS = frozenset(('sha256', 'token', 'tokens'))
+HIDDEN = '(hidden)'
+MAX_VERSION = 2**53  # exact in every JSON reader; a peer carries 64 bits
+MAX_PORT = 65535
 ModelT = TypeVar('ModelT', bound=pydantic.BaseModel)
 Name = Annotated[str, Field(pattern='^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$')]
-Address = Annotated[str, Field(pattern=r'^[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$')]
+
+
+def _check_address(address: str) -> str:
+    host, _, port = address.rpartition(':')
+    ipaddress.ip_address(host.strip('[]'))
+    if int(port) > MAX_PORT:
+        raise ValueError(f'the port is above {MAX_PORT}')
+    return address
+
+
+Address = Annotated[
+    str,
+    Field(pattern=r'^[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$'),
+    pydantic.AfterValidator(_check_address),
+]
+Version = Annotated[int, Field(ge=0, le=MAX_VERSION)]
 Share = Annotated[float, Field(ge=0, le=1)]
 PositiveSeconds = Annotated[float, Field(gt=0, le=86400)]
 
@@ -96,7 +115,7 @@
 class DocumentModel(Strict):
     """Both tables and the service marks."""
 
-    version: Annotated[int, Field(ge=0)] = 0
+    version: Version = 0
     routes: dict[Name, RouteModel] = Field(default_factory=dict)
     pools: dict[Name, PoolModel] = Field(default_factory=dict)
     zones_out: tuple[Name, ...] = ()
@@ -138,19 +157,25 @@
 class EditModel(Strict):
     """An edit as it reaches the administration API."""
 
-    version: Annotated[int, Field(ge=0)]
+    version: Version
     operations: Annotated[
         tuple[OperationModel, ...], Field(min_length=1, max_length=1000)
     ]
     dry_run: bool = False
 
 
+class HeadModel(Strict):
+    """The row of the version in force."""
+
+    version: Version
+
+
 class ChangeModel(Strict):
     """An accepted edit as the table keeps it."""
 
-    version: int
+    version: Version
     author: str
-    time_s: float
+    time_s: pydantic.FiniteFloat
     nonce: str
     operations: tuple[OperationModel, ...]
 
@@ -165,6 +190,30 @@
         )
 
 
+def _without_secrets(raw: object) -> object:
+    """Leave out what may be a token or its digest, at any depth."""
+    if isinstance(raw, Mapping):
+        return {
+            name: HIDDEN if name in SECRET_FIELDS else _without_secrets(part)
+            for name, part in raw.items()
+        }
+    if isinstance(raw, list):
+        return [_without_secrets(part) for part in raw]
+    return raw
+
+
+def _bounded(source: str, error: pydantic.ValidationError) -> ValidationError:
+    first = error.errors(include_url=False, include_context=False)[0]
+    path = first['loc']
+    given = first['input']
+    return ValidationError(
+        source,
+        '.'.join(str(part) for part in path) or '(whole)',
+        HIDDEN if SECRET_FIELDS.intersection(path) else _without_secrets(given),
+        first['msg'],
+    )
+
+
 def parse(kind: type[ModelT], source: str, raw: object) -> ModelT:
     """Check a value against a model.
 
@@ -173,15 +222,8 @@
     try:
         return kind.model_validate(raw)
     except pydantic.ValidationError as error:
-        first = error.errors()[0]
-        field = '.'.join(str(part) for part in first['loc']) or '(whole)'
-        is_secret = field.endswith(SECRET_FIELD)
-        raise ValidationError(
-            source,
-            field,
-            '(hidden)' if is_secret else first['input'],
-            first['msg'],
-        ) from (None if is_secret else error)
+        # The error of pydantic shows the input, with tokens and all.
+        raise _bounded(source, error) from None
 
 
 def _plain(entry: object) -> Any:
@@ -253,7 +295,7 @@
         return parse(DocumentModel, source, raw).to_document()
     try:
         fields = json.loads(raw)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ValidationError(
             source,
             '(whole)',
