Bound what an answer of the platform or of a keyed server takes

An answer was read whole and, with a content-encoding, unpacked to any size. The platform may now send 64 MiB, a keyed server 64 KiB, neither unpacked; a larger answer counts as lost. Versions above 2^63 - 1, which peer messages cannot carry, make an answer malformed.

--- a/src/oriolearch/adapters/grants.py
+++ b/src/oriolearch/adapters/grants.py
@@ -11,12 +11,14 @@
 import urllib3
 from pydantic import BaseModel, FiniteFloat, ValidationError
 
+from oriolearch.adapters import bounded
 from oriolearch.core.errors import StaleError
 from oriolearch.core.grants import SendGrant, ServerAnswer, ServerRefusal
 from oriolearch.core.messages import AuthorityKey, Mandate
 from oriolearch.core.model import RATE_MARGIN, shortened
 from oriolearch.ports import Clock
 
+MAX_ANSWER_BYTES = 64 * 1024  # answers are small whatever was sent
 _Answer = TypeVar('_Answer', bound=BaseModel)
 
 
@@ -297,11 +299,13 @@
         body: Mapping[str, Any] | None = None,
     ) -> _Reply:
         try:
-            response = self.pool.urlopen(
+            response = bounded.call(
+                self.pool,
                 method,
                 path,
-                body=None if body is None else json.dumps(body).encode(),
-                redirect=False,
+                None if body is None else json.dumps(body).encode(),
+                {},
+                MAX_ANSWER_BYTES,
             )
         except (
             urllib3.exceptions.NewConnectionError,
@@ -311,9 +315,9 @@
         except urllib3.exceptions.HTTPError as broken:
             return self._reply(GrantStatus.UNKNOWN, detail=str(broken))
         if response.status == HTTPStatus.OK:
-            return self._reply(GrantStatus.CONFIRMED, response.data)
+            return self._reply(GrantStatus.CONFIRMED, response.body)
         if response.status == HTTPStatus.CONFLICT:
-            return self._reply(GrantStatus.STALE, response.data)
+            return self._reply(GrantStatus.STALE, response.body)
         return self._reply(
             GrantStatus.UNKNOWN,
             detail=f'unexpected status {response.status}',
--- a/src/oriolearch/adapters/platform.py
+++ b/src/oriolearch/adapters/platform.py
@@ -4,31 +4,35 @@
 from collections.abc import Iterable
 from dataclasses import asdict
 from http import HTTPStatus
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 from urllib.parse import quote, urlencode
 
 import urllib3
-from pydantic import BaseModel, NonNegativeInt, TypeAdapter, ValidationError
+from pydantic import BaseModel, Field, TypeAdapter, ValidationError
 
+from oriolearch.adapters import bounded
 from oriolearch.core.errors import (
     ConditionFailedError,
     OutcomeUnknownError,
     PlatformRefusedError,
 )
+from oriolearch.core.rows import MAX_NUMBER
 from oriolearch.ports import Condition, HostEntry, VersionedRow, Write
 
+MAX_ANSWER_BYTES = 64 * 1024 * 1024  # all segments of 64 large pools
 ZONE_HEADER = 'oriolearch-zone'
 
 _Answer = TypeVar('_Answer')
+_Version = Annotated[int, Field(ge=0, le=MAX_NUMBER)]
 
 
 class _RowAnswer(BaseModel):
-    version: NonNegativeInt
+    version: _Version
     value: dict[str, Any]
 
 
 class _AbsentAnswer(BaseModel):
-    version: NonNegativeInt
+    version: _Version
 
 
 class _ScannedRow(_RowAnswer):
@@ -36,13 +40,13 @@
 
 
 class _CommitAnswer(BaseModel):
-    versions: list[NonNegativeInt]
+    versions: list[_Version]
 
 
 class _FailedCondition(BaseModel):
     table: str
     key: str
-    version: NonNegativeInt
+    version: _Version
 
 
 class _FailedAnswer(BaseModel):
@@ -147,7 +151,7 @@
         response = self._call('GET', f'/objects/{_quoted(name)}')
         if response.status == HTTPStatus.NOT_FOUND:
             return None
-        return _expected(response).data
+        return _expected(response).body
 
     def hosts(self) -> list[HostEntry]:
         """Read the list of hosts."""
@@ -162,7 +166,7 @@
         method: str,
         path: str,
         body: bytes | None = None,
-    ) -> urllib3.BaseHTTPResponse:
+    ) -> bounded.Reply:
         """Send one request.
 
         A connection that could not be opened has carried no byte, also when
@@ -170,12 +174,8 @@
         """
         call = f'{method} {self.address}{path}'
         try:
-            response = self.pool.urlopen(
-                method,
-                path,
-                body=body,
-                headers=self.headers,
-                redirect=False,
+            response = bounded.call(
+                self.pool, method, path, body, self.headers, MAX_ANSWER_BYTES
             )
         except (
             urllib3.exceptions.NewConnectionError,
@@ -194,8 +194,8 @@
 
 
 def _expected(
-    response: urllib3.BaseHTTPResponse,
-) -> urllib3.BaseHTTPResponse:
+    response: bounded.Reply,
+) -> bounded.Reply:
     if response.status != HTTPStatus.OK:
         raise OutcomeUnknownError(
             f'{response.url}: unexpected status {response.status}',
@@ -205,10 +205,10 @@
 
 def _parsed(
     model: TypeAdapter[_Answer],
-    response: urllib3.BaseHTTPResponse,
+    response: bounded.Reply,
 ) -> _Answer:
     try:
-        return model.validate_json(response.data, strict=True)
+        return model.validate_json(response.body, strict=True)
     except ValidationError as invalid:
         raise OutcomeUnknownError(
             f'{response.url}: malformed answer: {invalid}',
--- a/src/oriolearch/simulated.py
+++ b/src/oriolearch/simulated.py
@@ -516,10 +516,11 @@
     def scan_segments(self, coordinator: Coordinator) -> None:
         """Read all segment rows."""
         asked = self.clock()
-        self.scan(
-            SEGMENT_TABLE,
-            lambda rows: coordinator.scanned(asked, rows, self.clock()),
-        )
+
+        def arrive(rows: dict[str, StoredRow]) -> None:
+            coordinator.scanned(asked, rows, self.clock())
+
+        self.scan(SEGMENT_TABLE, arrive)
 
     def renew(self, renewer: Renewer, now: float) -> None:
         """Send what a renewer has to send, and take in the answer."""
--- a/src/oriolearch/simulation.py
+++ b/src/oriolearch/simulation.py
@@ -193,7 +193,7 @@
     def scan(
         self,
         table: str,
-        done: Callable[[dict[str, StoredRow]], object],
+        done: Callable[[dict[str, StoredRow]], None],
     ) -> None:
         """Read a whole table; no answer when the read fails."""
 
