--- a/src/oriolearch/cli.py
+++ b/src/oriolearch/cli.py
@@ -6,7 +6,7 @@
 import os
 import signal
 import sys
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any, NoReturn
@@ -23,6 +23,8 @@
 from oriolearch.settings import Settings, read_json, read_settings
 
 TOKEN_VARIABLE = 'ORIOLEARCH_TOKEN'  # noqa: S105
+URL_VARIABLE = 'ORIOLEARCH_URL'
+DEFAULT_URL = 'https://127.0.0.1:8083'
 USAGE_STATUS = 2  # exit status for faulty input
 
 
@@ -38,9 +40,14 @@
 class Api:
     """Options of every command that calls a host's administration API."""
 
-    url: Annotated[str, cappa.Arg(long='--url', help='address of the API')] = (
-        'https://127.0.0.1:8083'
-    )
+    url: Annotated[
+        str,
+        cappa.Arg(
+            long='--url',
+            default=cappa.Env(URL_VARIABLE, default=DEFAULT_URL),
+            help='address of the API',
+        ),
+    ] = DEFAULT_URL
     authority: Annotated[
         Path | None,
         cappa.Arg(long='--authority', help='PEM file of its authority'),
@@ -325,6 +332,10 @@
     ]
 
 
-def main() -> None:
-    """Run the command line."""
-    cappa.invoke(Oriolearch)
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run the command line.
+
+    :param arguments: words after the program's name; those of the process
+        when it is ``None``.
+    """
+    cappa.invoke(Oriolearch, argv=None if arguments is None else list(arguments))
