Name the zones that work in every sync answer

Hosts answered syncs without the pools that work in their zone, so no coordinator knew where a segment could go: the shards of a zone that was taken out stayed there, and those of the pool without fencing lost their owner for good.

Control.sync now adds them. tests/test_zones.py failed with the zone not empty after 60 s, and passes in 24 s with the change.

bench/zones.py measures the service meanwhile; its callers pause, which demo.Load now allows.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(BIN)/pip install -q --no-deps --no-build-isolation -e .
 	touch $@
 
-.PHONY: install demo serve test lint format soak bench bench-datapath bench-policy capacity proto
+.PHONY: install demo serve test lint format soak bench bench-datapath bench-policy bench-zones capacity proto
 install: $(STAMP)
 
 demo: $(STAMP)
@@ -35,6 +35,9 @@
 bench-policy: $(STAMP)
 	PYTHONPATH=. $(BIN)/python -m bench.policy
 
+bench-zones: $(STAMP)
+	$(BIN)/python -m bench.zones
+
 PROTO := src/oriolearch/adapters/peer.proto
 proto: $(STAMP)
 	PATH=$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc -Isrc --python_out=src \
--- a/src/oriolearch/cli.py
+++ b/src/oriolearch/cli.py
@@ -338,4 +338,6 @@
     :param arguments: words after the program's name; those of the process
         when it is ``None``.
     """
-    cappa.invoke(Oriolearch, argv=None if arguments is None else list(arguments))
+    cappa.invoke(
+        Oriolearch, argv=None if arguments is None else list(arguments)
+    )
--- a/src/oriolearch/control.py
+++ b/src/oriolearch/control.py
@@ -184,7 +184,9 @@
             self.authorities.hinted(hint.home, (hint.pool, hint.index))
         if now >= self.stated + TICK_S:
             self._state(now)  # other zones get permits that are not yet old
-        return self.keeper.answer(request, now)
+        # Other coordinators hand segments only to zones named in it.
+        working = self.authorities.working(now)
+        return replace(self.keeper.answer(request, now), working=working)
 
     async def promise(self, request: PromiseRequest) -> PromiseAnswer:
         """Answer the holder of an authority as its taker."""
--- a/src/oriolearch/demo.py
+++ b/src/oriolearch/demo.py
@@ -56,10 +56,14 @@
 
 @dataclass(slots=True)
 class Load:
-    """Callers on threads of their own, which send until stopped."""
+    """Callers on threads of their own, which send until stopped.
+
+    :param pause_s: time between a caller's answer and its next request.
+    """
 
     cluster: Cluster
     seed: int
+    pause_s: float = 0.0
     calls: list[Call] = field(default_factory=list)
     stopped: threading.Event = field(default_factory=threading.Event)
     threads: list[threading.Thread] = field(default_factory=list)
@@ -93,6 +97,7 @@
             )
             self._send(http, call)
             self.calls.append(call)
+            self.stopped.wait(self.pause_s)
 
     def _send(self, http: urllib3.PoolManager, call: Call) -> None:
         address = self.cluster.places[call.host].entry
