Count hot keys at the entry and show them in status

Nothing filled OwnState.hot_keys: no key was ever reported. Request threads append each key to a bounded buffer, the sync task drains it into a sketch per pool and reports once in 5 s, with the rate of the pool as the empty key. HotKeyWatch judges the merged reports; status lists the hottest keys. Reports were kept for 3 s by relays, less than one window; now 7.5 s.

--- a/src/oriolearch/adapters/entry.py
+++ b/src/oriolearch/adapters/entry.py
@@ -42,6 +42,7 @@
 from oriolearch.core.model import Document, Pool, PoolKind, Route
 from oriolearch.core.policy import Failure
 from oriolearch.core.routing import Router, extract_key, plain_path
+from oriolearch.core.splitting import KeyCounter
 from oriolearch.core.view import Owner, View
 
 OWN_PREFIX = '/oriolearch/'
@@ -94,6 +95,7 @@
         self.server.report = self._report_server
         self.lock = threading.Lock()
         self.router = Router(Document())
+        self.key_counter = KeyCounter()
         self.exchanges: dict[str, Exchange] = {}
         self.claims: set[tuple[str, str]] = set()
         self.id_prefix = f'{settings.host}-{rng.getrandbits(48):012x}'
@@ -376,6 +378,8 @@
         exchange.deadline = request.arrived + _timeout_s(given, limit_s)
         exchange.is_limited = not request.is_upload or given is not None
         exchange.key = key
+        if key is not None:
+            self.key_counter.add(pool.name, key)
         exchange.headers = request_fields(request)
         if KEY_HEADER in head.headers:
             self._claim(exchange, (pool.name, head.headers[KEY_HEADER]))
--- a/src/oriolearch/control.py
+++ b/src/oriolearch/control.py
@@ -46,6 +46,7 @@
 )
 from oriolearch.core.model import Document, HostRef, Member, Mobility
 from oriolearch.core.placement import plan
+from oriolearch.core.splitting import HotKeyWatch
 from oriolearch.core.syncing import OwnState, SyncKeeper
 from oriolearch.core.view import View
 from oriolearch.platform_calls import PlatformCalls
@@ -141,6 +142,7 @@
         self.keeper = SyncKeeper(own, parse_document)
         self.membership = Membership(own.zone)
         self.charges = Charges()
+        self.hot_keys = HotKeyWatch()
         self.authorities = Authorities(
             own,
             settings.adopters(),
@@ -237,6 +239,7 @@
             'pools': overview.pool_rows(view),
             'upstreams': overview.upstream_rows(view, self.entry.outstanding()),
             'leases': leases,
+            'hot_keys': overview.hot_key_rows(view, self.hot_keys),
         }
 
     async def _repeat(
@@ -289,6 +292,7 @@
     async def _sync(self) -> None:
         held = self.authorities.held(self.clock.monotonic())
         own_state = self._own_state()
+        self._judge_hot_keys(own_state)
         if held:
             self.keeper.note_own(own_state)
         if self._is_root(held):
@@ -312,10 +316,22 @@
         )
         return OwnState(
             outstanding=self.entry.outstanding(),
+            hot_keys=self.entry.key_counter.drain(self.clock.monotonic()),
             reports=reports,
             leaving=self.is_leaving,
         )
 
+    def _judge_hot_keys(self, own_state: OwnState) -> None:
+        """Decide once a window, by this host and those below it."""
+        if own_state.hot_keys is None:
+            return
+        now = self.clock.monotonic()
+        reports = self.keeper.children.hot_keys(now)
+        self.hot_keys.judge(
+            [own_state.hot_keys, *reports],
+            self.published.view.document,
+        )
+
     def _is_root(self, held: Collection[AuthorityKey]) -> bool:
         """Tell whether the hosts of the zone sync with this one.
 
--- a/src/oriolearch/core/children.py
+++ b/src/oriolearch/core/children.py
@@ -15,7 +15,7 @@
 )
 from oriolearch.core.model import HostRef, lengthened
 
-HOT_KEYS_KEPT_S = 3.0  # hosts report hot keys once a second
+HOT_KEYS_KEPT_S = 7.5  # hosts report hot keys every 5 s
 _ReportKey = tuple[AuthorityKey, str, str, HostRef | None]
 
 
--- a/src/oriolearch/core/messages.py
+++ b/src/oriolearch/core/messages.py
@@ -135,7 +135,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HotKey:
-    """A key with its share of a pool's requests at one host."""
+    """A key with its share of a pool's requests at one host.
+
+    :param key: empty for the rate of all requests of the pool.
+    """
 
     pool: str
     key: str
--- a/src/oriolearch/overview.py
+++ b/src/oriolearch/overview.py
@@ -12,8 +12,11 @@
     Pool,
     PoolKind,
 )
+from oriolearch.core.splitting import HotKeyWatch
 from oriolearch.core.view import View
 
+HOT_KEYS_SHOWN = 10  # of each pool, and those that are hot
+
 
 def keyed_pools(document: Document) -> Iterator[Pool]:
     """Yield the pools whose servers own keys."""
@@ -162,3 +165,26 @@
             },
         )
     return rows
+
+
+def hot_key_rows(view: View, watch: HotKeyWatch) -> list[dict[str, Any]]:
+    """Give a row for each of the hottest keys that this host hears of.
+
+    The coordinator of a zone hears of all that enter in the zone.
+    """
+    rows: list[dict[str, Any]] = []
+    for found in watch.hottest(HOT_KEYS_SHOWN):
+        pool = view.document.pools.get(found.pool)
+        owner = view.owner(pool, found.key) if pool else None
+        rows.append(
+            {
+                'pool': found.pool,
+                'key': found.key,
+                'rate': round(found.rate, 1),
+                'share': round(found.share, 4),
+                'hot': found.is_hot,
+                'shard': owner.shard if owner else '',
+                'owner': (owner.assignment.owner or '') if owner else '',
+            },
+        )
+    return rows
--- /dev/null
+++ b/tests/test_splitting.py
@@ -0,0 +1,95 @@
+"""Guards the counts of hot keys and the decisions on them."""
+
+from collections.abc import Callable
+
+import pytest
+
+from oriolearch.core import splitting
+from oriolearch.core.messages import HotKey
+from oriolearch.core.model import Document, Pool, PoolKind, Upstream
+from oriolearch.core.splitting import HotKeyWatch, KeyCounter
+from tests.conftest import Started
+from tests.entries import call, make_view
+from tests.upstreams import FakeUpstream
+
+SERVERS = tuple(Upstream(f's{n}', f'h:{n}', 'z1', slots=2) for n in range(10))
+POOL = Pool('p', PoolKind.KEYED, SERVERS, shard_count=1024)
+DOCUMENT = Document(1, {}, {'p': POOL})
+
+
+def test_report_comes_once_a_window_with_the_rate_of_the_pool() -> None:
+    """A share of an unknown total, or a report at each sync, is no use."""
+    counter = KeyCounter()
+    assert counter.drain(0) is None
+    for now in range(1, 5):
+        for number in range(50):
+            counter.add('p', 'hot' if number % 5 == 0 else f'k{number}')
+        assert counter.drain(now) is None
+    report = counter.drain(splitting.WINDOW_S)
+    assert report is not None
+    rates = {hot.key: hot.rate for hot in report}
+    assert rates['hot'] / rates[splitting.ALL_KEYS] == pytest.approx(0.2)
+    assert counter.drain(splitting.WINDOW_S + 1) is None
+    assert counter.drain(100) == ()
+    assert not counter.sketches
+
+
+@pytest.mark.parametrize('key', ['k' * 257, '\udcff', 'a\x1bb'])
+def test_unfit_key_counts_for_its_pool_only(key: str) -> None:
+    """A key without a UTF-8 form would stop every sync of the host."""
+    counter = KeyCounter()
+    counter.drain(0)
+    counter.add('p', key)
+    counter.drain(1)
+    report = counter.drain(splitting.WINDOW_S)
+    assert report is not None
+    assert [hot.key for hot in report] == [splitting.ALL_KEYS]
+
+
+def test_buffer_is_bounded_while_nothing_drains() -> None:
+    """A stalled event loop would let the buffer take all memory."""
+    counter = KeyCounter()
+    for number in range(splitting.BUFFER_LIMIT + 10):
+        counter.add('p', f'k{number}')
+    assert len(counter.buffer) == splitting.BUFFER_LIMIT
+
+
+HOT, LUKEWARM, COLD, FEW = (60, 400), (15, 400), (1, 400), (9, 10)
+
+
+@pytest.mark.parametrize(
+    ('rates', 'seen'),
+    [
+        ((HOT, HOT, HOT), '.hh'),
+        ((HOT, HOT, *(COLD,) * 6), '.hhhhh..'),
+        ((HOT, HOT, *(LUKEWARM,) * 6), '.hhhhhhh'),
+        ((FEW, FEW, FEW), '...'),
+        ((HOT, HOT, *(FEW,) * 6), '.hhhhh..'),
+    ],
+    ids=['hot', 'cold again', 'between', 'few requests', 'idle again'],
+)
+def test_key_is_hot_after_two_windows(
+    rates: tuple[tuple[float, float], ...],
+    seen: str,
+) -> None:
+    """A key must not flap, and few requests must not make one hot."""
+    watch = HotKeyWatch()
+    made = ''
+    for rate, total in rates:
+        host = HotKey('p', '', total / 2), HotKey('p', 'k', rate / 2)
+        watch.judge((host, host), DOCUMENT)
+        made += 'h' if any(one.is_hot for one in watch.hottest(5)) else '.'
+    assert made == seen
+
+
+def test_entry_counts_keys_of_keyed_pools(
+    upstream: Callable[..., FakeUpstream],
+    start: Callable[..., Started],
+) -> None:
+    """Requests that are not counted would leave every key cold."""
+    view = make_view((upstream().address,), (upstream().address,))
+    entry, address = start(view)
+    for path in ('/files/a', '/orders/k1', '/orders/k1'):
+        call(address, 'GET', path)
+    counted = list(entry.key_counter.buffer)
+    assert counted == [('keyed', 'k1'), ('keyed', 'k1')]
