Split hot keys out of their shards and bring them back

Hot keys were only reported. The list of the shard's owner names the key with epoch 0, so that the server refuses it. A cold key moves back to its shard's owner; it leaves the row only when that needs no lower epoch. The soak driver watches ten hot keys in every pool (--hot-keys heats them) and catches two new deliberate faults.

--- a/src/oriolearch/authorities.py
+++ b/src/oriolearch/authorities.py
@@ -50,6 +50,8 @@
 
     :param adopters: the zone that may adopt the movable shards of each zone.
     :param members: all live hosts that this host knows of, kept up to date.
+    :param hot_keys: by pool, the share of each key to be split; set by the
+        root of a zone, and empty while it has not heard of all its hosts.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
             for key, machine in self.machines.items()
         }
         self.homes: dict[tuple[str, str], float] = {}
+        self.hot_keys: Mapping[str, Mapping[str, float]] = {}
         self.home_mobility: dict[tuple[str, str], Mobility] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -178,6 +181,7 @@
             duty = self.coordinators[key]
             duty.members = tuple(member.ref for member in members)
             duty.homes = self.homes
+            duty.hot_keys = self.hot_keys
             share = duty.share_all(known.get(key), now)
             if share is not None:
                 # Segments handed to other homes are among them: a host that
--- a/src/oriolearch/control.py
+++ b/src/oriolearch/control.py
@@ -292,7 +292,7 @@
     async def _sync(self) -> None:
         held = self.authorities.held(self.clock.monotonic())
         own_state = self._own_state()
-        self._judge_hot_keys(own_state)
+        self._judge_hot_keys(own_state, self._is_root(held))
         if held:
             self.keeper.note_own(own_state)
         if self._is_root(held):
@@ -321,8 +321,10 @@
             leaving=self.is_leaving,
         )
 
-    def _judge_hot_keys(self, own_state: OwnState) -> None:
+    def _judge_hot_keys(self, own_state: OwnState, is_root: bool) -> None:
         """Decide once a window, by this host and those below it."""
+        if not is_root:
+            self.authorities.hot_keys = {}
         if own_state.hot_keys is None:
             return
         now = self.clock.monotonic()
@@ -330,7 +332,10 @@
         self.hot_keys.judge(
             [own_state.hot_keys, *reports],
             self.published.view.document,
+            self.published.view.segments.values(),
         )
+        if is_root:
+            self.authorities.hot_keys = self.hot_keys.shares()
 
     def _is_root(self, held: Collection[AuthorityKey]) -> bool:
         """Tell whether the hosts of the zone sync with this one.
--- a/src/oriolearch/core/coordinator.py
+++ b/src/oriolearch/core/coordinator.py
@@ -7,11 +7,11 @@
 predecessor had begun.
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 from itertools import chain
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from oriolearch.core.authority import COMMIT_PATIENCE_S, Authority, Nonces
 from oriolearch.core.errors import InvariantError
@@ -59,6 +59,12 @@
     shard_numbers,
     with_owners,
 )
+from oriolearch.core.splitting import (
+    SplitScene,
+    key_lists,
+    server_loads,
+    without_followers,
+)
 
 SCAN_PATIENCE_S = 0.5
 SCAN_PERIOD_S = 20.0
@@ -69,6 +75,8 @@
 HAND_LIMIT = 2  # segments that change zones at the same time as planned
 HOME_DELAY_S = 5.0  # a zone is back for this long before it gets segments
 
+_Unit = TypeVar('_Unit', int, str)
+
 
 @dataclass(frozen=True, slots=True)
 class Move:
@@ -203,6 +211,7 @@
     others: dict[SegmentKey, _Held] = field(default_factory=dict)
     writes: dict[SegmentKey, _Write] = field(default_factory=dict)
     releases: dict[tuple[str, int], _Release] = field(default_factory=dict)
+    key_releases: dict[tuple[str, str], _Release] = field(default_factory=dict)
     servers: dict[ServerKey, _Server] = field(default_factory=dict)
     handed: dict[SegmentKey, AuthorityKey] = field(default_factory=dict)
     listed: int = -1
@@ -210,6 +219,17 @@
     planned: float = 0.0
 
 
+def _number(
+    releases: dict[tuple[str, _Unit], _Release],
+    pool: Pool,
+    versions: Mapping[str | None, int],
+) -> None:
+    for name, release in releases.items():
+        if name[0] == pool.name and release.version is None:
+            version = versions.get(release.owner, 0)
+            releases[name] = replace(release, version=version)
+
+
 def rendezvous(refs: Iterable[HostRef], name: str) -> HostRef | None:
     """Choose a host for a name; few choices change when hosts change."""
     return max(
@@ -228,6 +248,7 @@
     :param members: live hosts that can be charged with renewing.
     :param homes: since when each ``(pool, zone)`` has had servers that work,
         by what other coordinators say.
+    :param hot_keys: by pool, the share of each key that is to be split.
     """
 
     granter_type = Granter
@@ -245,6 +266,7 @@
         self.document = Document()
         self.members: tuple[HostRef, ...] = ()
         self.homes: Mapping[tuple[str, str], float] = {}
+        self.hot_keys: Mapping[str, Mapping[str, float]] = {}
         self.order_limits: dict[str, float] = {}
         self._planner = planner
         self._nonces = nonces
@@ -486,6 +508,9 @@
         for (shard, old), new in pairs:
             if old != new or segment.home != self.key:
                 term.releases.pop((segment.pool, shard), None)
+        for name, one in held.segment.keys.items():
+            if segment.keys.get(name) != one or segment.home != self.key:
+                term.key_releases.pop((segment.pool, name), None)
 
     def _bootstrap(self, term: _Term, pool: Pool) -> None:
         for key in segment_keys(pool):
@@ -567,9 +592,121 @@
                 self._release(term, held, shard, owner, now)
             if len(chosen) > len(lost):
                 busy.add(key)
+        self._withdraw_keys(term, pool, in_service, now)
         if not any(name == pool.name for name, _ in term.releases):
             self._balance(term, pool, now)
 
+    def _withdraw_keys(
+        self,
+        term: _Term,
+        pool: Pool,
+        in_service: set[str],
+        now: float,
+    ) -> None:
+        """List hot keys, and take split ones from their owners."""
+        hot = self.hot_keys.get(pool.name)
+        concerned = [
+            held
+            for _, held in self._unwritten(term, pool)
+            if held.segment.version and (hot or held.segment.keys)
+        ]
+        if not concerned:
+            return
+        owners = {
+            one.owner
+            for held in concerned
+            for one in held.segment.keys.values()
+        }
+        gone = frozenset(
+            name
+            for name in owners
+            if name not in in_service or self._is_lost(term, pool, name)
+        )
+        scene = self._scene(term, pool)
+        for held in concerned:
+            listed = scene.listed(held.segment)
+            if listed is not None:
+                self._write(term, listed)
+            elif self._release_keys(term, pool, held, scene, gone, now):
+                scene = self._scene(term, pool)
+
+    def _release_keys(
+        self,
+        term: _Term,
+        pool: Pool,
+        held: _Held,
+        scene: SplitScene,
+        gone: frozenset[str | None],
+        now: float,
+    ) -> bool:
+        index = held.segment.index
+        is_leaving = self._target_zone(term, pool, index, now) is not None
+        names = tuple(scene.to_release(held.segment, gone, is_leaving))
+        for name in names:
+            owner = held.segment.keys[name].owner
+            release = _Release(owner, None, now)
+            term.key_releases[pool.name, name] = release
+            term.number += 1
+            held.changed = term.number
+        return bool(names)
+
+    def _scene(self, term: _Term, pool: Pool) -> SplitScene:
+        segments = self._segments(term, pool)
+        hot = self.hot_keys.get(pool.name)
+        return SplitScene(
+            pool,
+            hot,
+            self._usable(term, pool),
+            server_loads(pool, segments, hot or {}),
+            *self._released(term, pool),
+        )
+
+    def _segments(self, term: _Term, pool: Pool) -> list[Segment]:
+        return [
+            held.segment
+            for key, held in term.held.items()
+            if key[0] == pool.name
+        ]
+
+    def _released(
+        self,
+        term: _Term,
+        pool: Pool,
+    ) -> tuple[set[int], set[str]]:
+        shards = {one for name, one in term.releases if name == pool.name}
+        keys = {one for name, one in term.key_releases if name == pool.name}
+        return shards, keys
+
+    def _free_keys(
+        self,
+        term: _Term,
+        pool: Pool,
+        segment: Segment,
+        now: float,
+    ) -> set[str]:
+        return {
+            name
+            for name in segment.keys
+            if (pool.name, name) in term.key_releases
+            and self._is_free(
+                term,
+                pool,
+                term.key_releases[pool.name, name],
+                now,
+            )
+        }
+
+    def _place_keys(self, term: _Term, pool: Pool, now: float) -> None:
+        """Decide the new owners of split keys that are free."""
+        if not any(name == pool.name for name, _ in term.key_releases):
+            return
+        for key, held in self._unwritten(term, pool):
+            free = self._free_keys(term, pool, held.segment, now)
+            if free and self._target_zone(term, pool, key[1], now) is None:
+                placed = self._scene(term, pool).placed(held.segment, free)
+                if placed is not None:
+                    self._write(term, placed)
+
     def _moving(self, term: _Term, pool: Pool) -> Iterator[SegmentKey]:
         for (name, shard), release in term.releases.items():
             is_planned = not self._is_lost(term, pool, release.owner)
@@ -662,21 +799,24 @@
     def _update_lists(self, term: _Term, pool: Pool) -> None:
         """Give each server a new list version when its shards change."""
         lists = self._lists(term, pool)
+        keys = key_lists(
+            pool,
+            self._segments(term, pool),
+            *self._released(term, pool),
+        )
         versions: dict[str | None, int] = {}
         for (name, server_name), server in term.servers.items():
             if name != pool.name:
                 continue
             shards = tuple(sorted(lists.get(server_name, ())))
-            if shards != server.shards:
+            split = tuple(sorted(keys.get(server_name, {}).items()))
+            if (shards, split) != (server.shards, server.keys):
                 server.shards = shards
+                server.keys = split
                 server.version += 1
             versions[server_name] = server.version
-        for released, release in term.releases.items():
-            if released[0] == pool.name and release.version is None:
-                term.releases[released] = replace(
-                    release,
-                    version=versions.get(release.owner, 0),
-                )
+        _number(term.releases, pool, versions)
+        _number(term.key_releases, pool, versions)
 
     def _is_free(
         self,
@@ -702,13 +842,16 @@
             index = held.segment.index
             home = self._target_zone(term, pool, index, now) if free else None
             if home is not None:
-                self._hand(term, pool, held, free, home)
+                self._hand(term, pool, held, free, home, now)
             elif free:
                 homeless.append((held, free))
         if homeless and usable:
             targets = self._targets(term, pool, usable)
             for held, free in homeless:
-                self._assign(term, held, free, targets)
+                keys = self._free_keys(term, pool, held.segment, now)
+                cold = keys.difference(self.hot_keys.get(pool.name, keys))
+                self._assign(term, held, free, targets, cold)
+        self._place_keys(term, pool, now)
 
     def _unplaced(self, term: _Term, pool: Pool) -> list[_Held]:
         released = {
@@ -769,6 +912,7 @@
         held: _Held,
         free: list[int],
         targets: Mapping[int, str],
+        cold: Collection[str],
     ) -> None:
         chosen = {shard: targets[shard] for shard in free if shard in targets}
         changed: dict[int, str | None] = {}
@@ -782,7 +926,9 @@
             else:
                 changed[shard] = target
         if changed:
-            self._write(term, with_owners(held.segment, changed, self.key))
+            pool = self.document.pools[held.segment.pool]
+            segment = with_owners(held.segment, changed, self.key)
+            self._write(term, without_followers(pool, segment, changed, cold))
 
     def _hand(
         self,
@@ -791,8 +937,11 @@
         held: _Held,
         free: list[int],
         zone: str,
+        now: float,
     ) -> None:
-        if len(free) < len(held.segment.shards):
+        keys = self._free_keys(term, pool, held.segment, now)
+        is_whole = len(free) == len(held.segment.shards)
+        if not is_whole or len(keys) < len(held.segment.keys):
             return
         servers = {
             upstream.name: upstream.weight
@@ -806,7 +955,8 @@
             move.shard: move.target for move in moves
         }
         home = AuthorityKey(zone, self.key.mobility)
-        self._write(term, with_owners(held.segment, chosen, home))
+        segment = with_owners(held.segment, chosen, home)
+        self._write(term, without_followers(pool, segment, chosen, keys))
 
     def _write(self, term: _Term, segment: Segment) -> None:
         key = segment.pool, segment.index
@@ -872,7 +1022,13 @@
             else one
             for shard, one in shard_numbers(segment)
         )
-        return replace(segment, shards=shards)
+        keys = {
+            name: Assignment(None, one.epoch)
+            if (segment.pool, name) in term.key_releases
+            else one
+            for name, one in segment.keys.items()
+        }
+        return replace(segment, shards=shards, keys=keys)
 
     def _mandates(
         self,
--- a/src/oriolearch/deliberate.py
+++ b/src/oriolearch/deliberate.py
@@ -5,6 +5,7 @@
 
 import math
 from dataclasses import dataclass, replace
+from typing import Any
 
 from oriolearch.core.authority import (
     LEASE_S,
@@ -164,6 +165,30 @@
     return Strategy(authority=faulty)
 
 
+class _MovesKeysAtOnce(Coordinator):
+    """Gives a split key away while its old owner may still hold it."""
+
+    def _free_keys(self, *given: Any, **named: Any) -> set[str]:
+        term, pool, segment, _ = given
+        names = {name for one, name in term.key_releases if one == pool.name}
+        return names.intersection(segment.keys)
+
+
+class _KeepsKeysOfShards(KeyedServer):
+    """Runs orders for every key of its shards, split or not."""
+
+    def receive(
+        self,
+        effect: RenewerEffect,
+        sent: float,
+        reply: Reply,
+    ) -> None:
+        if isinstance(effect, SendGrant):
+            keys = tuple(one for one in effect.keys if one[1])
+            effect = replace(effect, keys=keys)
+        super().receive(effect, sent, reply)
+
+
 STRATEGIES = {
     'none': Strategy(),
     'promise-while-unresolved': _authority(_PromisesWhileUnresolved),
@@ -176,5 +201,7 @@
     'forget-mandates': _granter(_ForgetsMandates),
     'ignore-permits': _granter(_IgnoresPermits),
     'renew-forever': Strategy(renewer=_RenewsForever),
+    'move-keys-at-once': Strategy(coordinator=_MovesKeysAtOnce),
+    'keep-keys-of-shards': Strategy(server=_KeepsKeysOfShards),
     'ignore-incarnation': Strategy(server=_IgnoresIncarnation),
 }
--- a/src/oriolearch/simulated.py
+++ b/src/oriolearch/simulated.py
@@ -146,6 +146,7 @@
         self.table = TableModel()
         self.ledger = Ledger(world, self.table)
         self.document = make_document(zones)
+        self.hot_keys: dict[str, dict[str, float]] = {}
         self.servers = {
             (pool.name, upstream.name): strategy.server(
                 self.ledger,
@@ -458,6 +459,7 @@
                 and now < heard.last + MEMBER_SILENCE_S
             ),
         )
+        coordinator.hot_keys = self.cluster.hot_keys
         coordinator.homes = {
             home: since
             for home, (since, last) in self.homes.items()
--- a/src/oriolearch/simulated_servers.py
+++ b/src/oriolearch/simulated_servers.py
@@ -13,7 +13,12 @@
     ServerRefusal,
 )
 from oriolearch.core.messages import Segment
-from oriolearch.core.model import SHARDS_PER_SEGMENT, segment_of
+from oriolearch.core.model import (
+    SHARDS_PER_SEGMENT,
+    Assignment,
+    segment_of,
+    shard_of,
+)
 from oriolearch.core.rows import SEGMENT_TABLE
 from oriolearch.core.segments import (
     SegmentKey,
@@ -24,6 +29,9 @@
 
 Reply = Callable[[ServerAnswer | ServerRefusal], None]
 Owners = tuple[str | None, ...]
+Units = frozenset[int | str]  # shards, and the hot keys that are watched
+SHARD_COUNT = 768  # of each simulated pool
+HOT_KEYS = tuple(f'hot{number}' for number in range(10))
 
 
 class BalancedPlanner:
@@ -57,23 +65,45 @@
         return tuple(moves)
 
 
+def hot_keys_in(index: int) -> list[str]:
+    """Give the watched keys of a segment."""
+    return [
+        key
+        for key in HOT_KEYS
+        if segment_of(shard_of(key, SHARD_COUNT)) == index
+    ]
+
+
+def units_of(shards: Mapping[int, int], keys: Mapping[str, int]) -> Units:
+    """Give what a server with this list runs orders for.
+
+    A key that is listed with epoch 0 is not the server's.
+    """
+    own = {
+        key
+        for key in HOT_KEYS
+        if keys.get(key, shard_of(key, SHARD_COUNT) in shards)
+    }
+    return frozenset(shards).union(own)
+
+
 class Ledger:
     """Which server may run orders for which shard, in true time."""
 
     def __init__(self, world: Simulation, table: TableModel) -> None:
         self.world = world
         self.table = table
-        self.grants: dict[str, dict[str, tuple[frozenset[int], float]]] = {}
+        self.grants: dict[str, dict[str, tuple[Units, float]]] = {}
         self.reach: dict[SegmentKey, dict[Owners, float]] = {}
         self.served: dict[SegmentKey, dict[Owners, float]] = {}
         self._decoded: dict[tuple[SegmentKey, int], Segment] = {}
-        self._overlaps: dict[tuple[frozenset[int], frozenset[int]], bool] = {}
+        self._overlaps: dict[tuple[Units, Units], bool] = {}
 
     def granted(
         self,
         pool: str,
         server: str,
-        shards: frozenset[int],
+        shards: Units,
         end: float,
     ) -> None:
         """Check a grant against those of the other servers.
@@ -87,7 +117,7 @@
         for other, (others, other_end) in known.items():
             is_in_force = other != server and other_end > self.world.now
             if is_in_force and self._is_overlap(shards, others):
-                both = sorted(shards & others)[:3]
+                both = sorted(shards & others, key=str)[-3:]
                 detail = f'{pool} {both}: {server} and {other}'
                 raise InvariantError('single-owner', detail)
 
@@ -96,8 +126,11 @@
         pool: str,
         server: str,
         shards: Mapping[int, int],
+        keys: Mapping[str, int],
     ) -> None:
         """Check that the table holds each assignment that was granted."""
+        for key in units_of(shards, keys).intersection(HOT_KEYS):
+            self._check_key(pool, server, str(key), keys)
         for shard, epoch in shards.items():
             segment = self.segment((pool, segment_of(shard)))
             one = segment and segment.shards[shard % SHARDS_PER_SEGMENT]
@@ -105,6 +138,24 @@
                 detail = f'{pool}/{shard}: {server} {epoch}, table has {one}'
                 raise InvariantError('granted-is-stored', detail)
 
+    def _check_key(
+        self,
+        pool: str,
+        server: str,
+        key: str,
+        keys: Mapping[str, int],
+    ) -> None:
+        number = shard_of(key, SHARD_COUNT)
+        segment = self.segment((pool, segment_of(number)))
+        one: Assignment | None = None
+        if segment is not None:
+            around = segment.shards[number % SHARDS_PER_SEGMENT]
+            one = segment.keys.get(key, around)
+        is_stored = one is not None and one.owner == server
+        if not one or not is_stored or keys.get(key, one.epoch) != one.epoch:
+            detail = f'{pool}/{key}: {server} {keys}, table has {one}'
+            raise InvariantError('granted-is-stored', detail)
+
     def segment(self, key: SegmentKey) -> Segment | None:
         """Read a segment from the table as it is now."""
         stored = self.table.read(SEGMENT_TABLE, segment_row_key(key))
@@ -122,6 +173,10 @@
         """
         key = segment.pool, segment.index
         owners = tuple(one.owner for one in segment.shards)
+        for hot in hot_keys_in(segment.index):
+            number = shard_of(hot, SHARD_COUNT) % SHARDS_PER_SEGMENT
+            one = segment.keys.get(hot, segment.shards[number])
+            owners = (*owners, one.owner)
         self._extend(self.served, key, owners, permit_end)
         known = self._extend(self.reach, key, owners, permit_end + limit)
         for other, end in known.items():
@@ -151,8 +206,8 @@
 
     def _is_overlap(
         self,
-        one: frozenset[int],
-        other: frozenset[int],
+        one: Units,
+        other: Units,
     ) -> bool:
         pair = one, other
         if pair not in self._overlaps:
@@ -190,7 +245,7 @@
         self.incarnation = next(self.incarnations)
         self.offset = self.world.rng.uniform(0, 100) - self.world.now
         self.held = (0, 0)
-        self.shards: frozenset[int] = frozenset()
+        self.shards: Units = frozenset()
         self.expires = self.clock()
         self.ledger.granted(self.pool, self.name, self.shards, self.world.now)
 
@@ -248,11 +303,12 @@
     def _accept(self, grant: SendGrant) -> None:
         if grant.shards is not None:
             self.held = grant.term, grant.version
-            self.shards = frozenset(shard for shard, _ in grant.shards)
+            self.shards = units_of(dict(grant.shards), dict(grant.keys))
         if grant.expires_at > self.clock():
             self.expires = max(self.expires, grant.expires_at)
         end = self.world.now + (self.expires - self.clock()) / self.rate
         self.ledger.granted(self.pool, self.name, self.shards, end)
         if end > self.world.now and grant.shards is not None:
             shards = dict(grant.shards)
-            self.ledger.acknowledged(self.pool, self.name, shards)
+            keys = dict(grant.keys)
+            self.ledger.acknowledged(self.pool, self.name, shards, keys)
--- a/src/oriolearch/soak.py
+++ b/src/oriolearch/soak.py
@@ -19,7 +19,12 @@
 from oriolearch.core.segments import SegmentKey
 from oriolearch.deliberate import STRATEGIES
 from oriolearch.simulated import Cluster, HostProcess, Strategy, make_document
-from oriolearch.simulated_servers import KeyedServer, Owners
+from oriolearch.simulated_servers import (
+    HOT_KEYS,
+    KeyedServer,
+    Owners,
+    hot_keys_in,
+)
 from oriolearch.simulation import Simulation
 
 ZONES = ('a', 'b', 'c')
@@ -62,6 +67,7 @@
     *('zone_out', 'zone_in', 'zone_in', 'server_out', 'server_in'),
     *('remove', 'add', 'add'),
 )
+HOT_KINDS = ('hot', 'cold')  # a new set of hot keys, and none
 KINDS = (
     *SERVER_KINDS,
     *('pause', 'pause', 'resume', 'resume', 'kill', 'start', 'start', 'stop'),
@@ -70,6 +76,7 @@
     *WEATHER,
     *('calm', 'calm', 'heal', 'quiet', 'quiet'),
 )
+KEY_KINDS = (*KINDS, *HOT_KINDS, *HOT_KINDS, *HOT_KINDS, *HOT_KINDS)
 
 
 def generate(seed: int, count: int, kinds: Sequence[str] = KINDS) -> list[Step]:
@@ -165,6 +172,8 @@
             'isolate': self.isolate,
             'join': self.join,
             'freeze': self.freeze,
+            'hot': lambda _: self.heat(),
+            'cold': lambda _: self.cool(),
             'thaw': lambda name: self.server(name).thaw(),
             'kill_server': lambda name: self.server(name).kill(),
             'start_server': self.start_server,
@@ -180,6 +189,21 @@
         """Find a server by its name."""
         return self.cluster.servers[name.split('-')[0], name]
 
+    def heat(self) -> None:
+        """Let some keys be hot, as all coordinators learn."""
+        rng = self.world.rng
+        self.cluster.hot_keys = {
+            pool: {
+                key: rng.uniform(0.05, 0.2)
+                for key in rng.sample(HOT_KEYS, rng.randint(1, 5))
+            }
+            for pool in self.cluster.document.pools
+        }
+
+    def cool(self) -> None:
+        """Let no key be hot."""
+        self.cluster.hot_keys = {pool: {} for pool in self.cluster.hot_keys}
+
     def freeze(self, name: str) -> None:
         """Suspend a server without its notice."""
         self.server(name).is_frozen = True
@@ -301,16 +325,22 @@
     def recover(self) -> None:
         """Assert that every shard is served within the bound."""
         healed = self.world.now
-        missing = self.all_shards()
+        missing = self.all_units()
         while missing:
             self.advance(RECOVERY_STEP_S)
-            missing -= self.served()
+            missing -= self.served_units()
             self.recovered_s = self.world.now - healed
             if missing and self.recovered_s > RECOVERY_S:
                 some = sorted(missing)[:3]
                 detail = f'{len(missing)} shards, for example {some}'
                 raise InvariantError('liveness', detail)
 
+    def all_units(self) -> set[tuple[str, int | str]]:
+        """Give all shards and watched keys of all pools."""
+        pools = self.cluster.document.pools
+        keys = {(pool, key) for pool in pools for key in HOT_KEYS}
+        return keys.union(self.all_shards())
+
     def all_shards(self) -> set[tuple[str, int]]:
         """Give all shards of all pools."""
         return {
@@ -321,7 +351,15 @@
 
     def served(self) -> set[tuple[str, int]]:
         """Give the shards that some server may run orders for now."""
-        served: set[tuple[str, int]] = set()
+        return {
+            (pool, unit)
+            for pool, unit in self.served_units()
+            if isinstance(unit, int)
+        }
+
+    def served_units(self) -> set[tuple[str, int | str]]:
+        """Give the shards and keys that a server may run orders for now."""
+        served: set[tuple[str, int | str]] = set()
         ledger = self.cluster.ledger
         for (pool, name), server in self.cluster.servers.items():
             _, end = ledger.grants[pool][name]
@@ -338,13 +376,16 @@
         self,
         key: SegmentKey,
         owners: Owners,
-    ) -> Iterator[tuple[str, int]]:
-        for number, owner in enumerate(owners):
+    ) -> Iterator[tuple[str, int | str]]:
+        first = key[1] * SHARDS_PER_SEGMENT
+        shards = range(first, first + SHARDS_PER_SEGMENT)
+        units = (*shards, *hot_keys_in(key[1]))
+        for unit, owner in zip(units, owners, strict=True):
             if owner is None:
                 continue
             server = self.server(owner)
             if server.is_alive and not server.is_frozen:
-                yield key[0], key[1] * SHARDS_PER_SEGMENT + number
+                yield key[0], unit
 
 
 @dataclass(frozen=True, slots=True)
@@ -401,9 +442,11 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--steps', type=int, default=200)
     parser.add_argument('--fault', choices=sorted(STRATEGIES), default='none')
+    parser.add_argument('--hot-keys', action='store_true')
     options = parser.parse_args(arguments)
     strategy = STRATEGIES[options.fault]
-    steps = generate(options.seed, options.steps)
+    kinds = KEY_KINDS if options.hot_keys else KINDS
+    steps = generate(options.seed, options.steps, kinds)
     outcome = attempt(steps, strategy)
     if isinstance(outcome, str):
         print(f'seed {options.seed}: {options.steps} steps, {outcome}')
--- a/src/oriolearch/standins/keyed.py
+++ b/src/oriolearch/standins/keyed.py
@@ -163,7 +163,8 @@
         key: str,
     ) -> bool:
         if key in grants.keys:
-            return grants.keys[key] == epoch
+            # Epoch 0 names a key that another server owns.
+            return epoch > 0 and grants.keys[key] == epoch
         if grants.shards.get(shard) != epoch:
             return False
         return self.revoked.split.get(key, {}).get(shard) != epoch
@@ -236,7 +237,8 @@
         shard, _ = _target(order.request)
         key = self.key_of(order.request)
         return any(
-            shard in held.shards or key in held.keys
+            held.keys.get(key, 1) > 0
+            and (shard in held.shards or key in held.keys)
             for held in self.grants.values()
         )
 
@@ -264,6 +266,8 @@
                     self.revoked.shards[shard],
                 )
         for key, epoch in keys.items():
+            if epoch == 0:
+                continue
             if epoch <= self.revoked.keys.get(key, -1):
                 raise StaleError('epoch', epoch, self.revoked.keys[key])
             self.revoked.split.pop(key, None)
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -73,6 +73,7 @@
         self.coordinator.members = (HOST,)
         self.now = 0.0
         self.written: list[str] = []
+        self.rows: dict[int, Segment] = {}  # by index, as written last
         self.configure(frozenset(), 1)
 
     def configure(self, zones_out: frozenset[str], version: int) -> None:
@@ -88,6 +89,12 @@
                 if isinstance(effect, Commit):
                     name = effect.writes[0].key
                     self.written.append(name)
+                    key = segments.parse_segment_row_key(name)
+                    version = self.written.count(name)
+                    row = effect.writes[0].row or {}
+                    self.rows[key[1]] = segments.decode_segment(
+                        key, version, row
+                    )
                     event = Committed(effect.nonce, (self.written.count(name),))
                     self.coordinator.handle(event, self.now)
             self.coordinator.scanned(self.now, {}, self.now)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,6 +24,21 @@
     assert isinstance(outcome, str), outcome
 
 
+@pytest.mark.parametrize('seed', [1, 3])
+def test_no_trace_with_hot_keys_breaks_an_invariant(seed: int) -> None:
+    """Two owners of a split key could run its orders at the same time."""
+    steps = soak.generate(seed, 40, soak.KEY_KINDS)
+    run = soak.Soak(STRATEGIES['none'])
+    run.run(steps)
+    rows = run.cluster.table.rows.items()
+    split = {
+        (name, key)
+        for (_, name), row in rows
+        for key in (row.row or {}).get('keys', ())
+    }
+    assert split, 'no key was ever split'
+
+
 def quiet(phase: int, seconds: float) -> Step:
     return Step('quiet', 'a0', 1, seconds, phase)
 
@@ -57,6 +72,11 @@
     ]
 
 
+def heated(seed: int) -> list[Step]:
+    """Let sets of hot keys come and go, with few faults."""
+    return soak.generate(seed, 15, ('hot', 'cold', 'hot', 'late', 'quiet'))
+
+
 @pytest.mark.parametrize(
     ('fault', 'trace', 'phases'),
     [
@@ -68,6 +88,8 @@
         ('skip-takeover-wait', cut_off, range(12, 16)),
         ('forget-mandates', lambda seed: soak.generate(seed, 15), range(1, 4)),
         ('ignore-permits', cut_off, range(4)),
+        ('move-keys-at-once', heated, range(1, 4)),
+        ('keep-keys-of-shards', heated, range(1, 4)),
         ('renew-forever', cut_off, range(4)),
     ],
 )
--- a/tests/test_splitting.py
+++ b/tests/test_splitting.py
@@ -6,10 +6,18 @@
 
 from oriolearch.core import splitting
 from oriolearch.core.messages import HotKey
-from oriolearch.core.model import Document, Pool, PoolKind, Upstream
+from oriolearch.core.model import (
+    Document,
+    Pool,
+    PoolKind,
+    Upstream,
+    segment_of,
+    shard_of,
+)
 from oriolearch.core.splitting import HotKeyWatch, KeyCounter
 from tests.conftest import Started
 from tests.entries import call, make_view
+from tests.test_coordinator import Driven
 from tests.upstreams import FakeUpstream
 
 SERVERS = tuple(Upstream(f's{n}', f'h:{n}', 'z1', slots=2) for n in range(10))
@@ -93,3 +101,36 @@
         call(address, 'GET', path)
     counted = list(entry.key_counter.buffer)
     assert counted == [('keyed', 'k1'), ('keyed', 'k1')]
+
+
+@pytest.mark.parametrize('lost', ['', 'other'])
+def test_hottest_key_leaves_its_server_and_returns(lost: str) -> None:
+    """Two hot keys on one server would stay there, or never go home."""
+    driven = Driven('a')
+    driven.run(5)
+    pool = driven.pool
+
+    def owner(key: str) -> str | None:
+        segment = driven.rows[segment_of(shard_of(key, pool.shard_count))]
+        return splitting.owner_of(pool, segment, key)
+
+    names = [f'k{number}' for number in range(500)]
+    mine = [
+        key
+        for key in names
+        if segment_of(shard_of(key, pool.shard_count)) in driven.rows
+    ]
+    home = owner(mine[0])
+    pair = [key for key in mine if owner(key) == home][:2]
+    driven.coordinator.hot_keys = {'p': {pair[0]: 0.3, pair[1]: 0.2}}
+    driven.run(5)
+    apart = {owner(key) for key in pair}
+    assert len(apart) == 2
+    gone = max(apart - {home}, key=str) if lost else ''
+    driven.run(3, lost=str(gone))
+    owners = [owner(key) for key in pair]
+    assert gone not in owners
+    assert len(set(owners)) == 2
+    driven.coordinator.hot_keys = {'p': {}}
+    driven.run(5)
+    assert [owner(key) for key in pair] == [home, home]
