--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -19,7 +19,7 @@
     'version': 3,
     'expires_at': START_S + 1,
     'shards': [[7, 20], [8, 21]],
-    'keys': [['hot', 25]],
+    'keys': [['hot', 25], ['gone', 0]],
 }
 
 
@@ -39,6 +39,8 @@
         ('k', 9, 20, 0, 421),
         ('hot', 7, 25, 0, 200),
         ('hot', 7, 20, 0, 421),
+        ('gone', 7, 20, 0, 421),  # of the shard, but of another server
+        ('gone', 7, 0, 0, 421),
         ('k', '', '', 0, 400),
     ],
 )
