--- a/src/oriolearch/control.py
+++ b/src/oriolearch/control.py
@@ -45,6 +45,7 @@
 )
 from oriolearch.core.model import Document, HostRef, Member, Mobility
 from oriolearch.core.placement import plan
+from oriolearch.core.splitting import HotKeyWatch
 from oriolearch.core.syncing import OwnState, SyncKeeper
 from oriolearch.core.view import View
 from oriolearch.health import HealthReports
@@ -146,6 +147,7 @@
         self.keeper = SyncKeeper(own, parse_document)
         self.membership = Membership(own.zone)
         self.charges = Charges()
+        self.hot_keys = HotKeyWatch()
         self.authorities = Authorities(
             own,
             settings.adopters(),
@@ -242,6 +244,7 @@
             'pools': overview.pool_rows(view),
             'upstreams': overview.upstream_rows(view, self.entry.outstanding()),
             'leases': leases,
+            'hot_keys': overview.hot_key_rows(view, self.hot_keys),
         }
 
     async def _repeat(
@@ -316,6 +319,7 @@
     async def _sync(self) -> None:
         held = self.authorities.held(self.clock.monotonic())
         own_state = self._own_state()
+        self._judge_hot_keys(own_state, self._is_root(held))
         if held:
             self.keeper.note_own(own_state)
         if self._is_root(held):
@@ -339,11 +343,28 @@
         )
         return OwnState(
             outstanding=self.entry.outstanding(),
+            hot_keys=self.entry.key_counter.drain(self.clock.monotonic()),
             reports=reports,
             cold=tuple(sorted(self.entry.cold() | self.health.cold())),
             leaving=self.is_leaving,
         )
 
+    def _judge_hot_keys(self, own_state: OwnState, is_root: bool) -> None:
+        """Decide once a window, by this host and those below it."""
+        if not is_root:
+            self.authorities.hot_keys = {}
+        if own_state.hot_keys is None:
+            return
+        now = self.clock.monotonic()
+        reports = self.keeper.children.hot_keys(now)
+        self.hot_keys.judge(
+            [own_state.hot_keys, *reports],
+            self.published.view.document,
+            self.published.view.segments.values(),
+        )
+        if is_root:
+            self.authorities.hot_keys = self.hot_keys.shares()
+
     def _is_root(self, held: Collection[AuthorityKey]) -> bool:
         """Tell whether the hosts of the zone sync with this one.
 
