Choose renewers once a change, and measure coordinator and calls

Cause: each tick of a coordinator hashed every server with every host. A statement passes over the servers once for all hosts. make capacity measures both, the renewals and the calls to the platform.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import gc
+import itertools
 import json
 import math
 import multiprocessing
@@ -17,7 +18,8 @@
 import sys
 import time
 import tracemalloc
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import asdict, dataclass, replace
 from functools import partial
 from itertools import accumulate
@@ -25,7 +27,15 @@
 from pathlib import Path
 
 from oriolearch.adapters import peer_messages
+from oriolearch.adapters.grants import GrantClient
 from oriolearch.adapters.peers import PeerClient, PeerServer
+from oriolearch.adapters.platform import HttpPlatform
+from oriolearch.clock import RealClock
+from oriolearch.core import coordinator as duties
+from oriolearch.core import placement
+from oriolearch.core.authority import Authority
+from oriolearch.core.coordinator import Coordinator
+from oriolearch.core.grants import SendGrant, ServerAnswer
 from oriolearch.core.hotkeys import HotKeySketch
 from oriolearch.core.membership import (
     CHILDREN_LIMIT,
@@ -52,12 +62,21 @@
     HostRef,
     Member,
     Mobility,
+    Pool,
+    PoolKind,
+    Upstream,
 )
 from oriolearch.core.placement import plan
+from oriolearch.core.rows import StoredRow
+from oriolearch.core.segments import encode_segment
 from oriolearch.core.syncing import OwnState, SyncKeeper
+from oriolearch.ports import Write
+from oriolearch.standins.keyed import KeyedStandin
+from oriolearch.standins.platform import PlatformStandin
 
 RESULTS = Path(__file__).parent / 'results' / 'capacity.json'
 SYNC_PERIOD_S = 0.2
+CALL_COUNTS = (100, 200, 400)
 EXCHANGES = 100
 RELAY_SPAN_S = 6.0
 HOTTEST = 33
@@ -488,6 +507,166 @@
     yield fit('hot keys found of 33', 'requests/s', 'keys', found)
 
 
+def _serve_standins(pipe: Connection) -> None:
+    """Run a platform and a keyed server until told to stop."""
+    platform = PlatformStandin()
+    server = KeyedStandin()
+    platform.start()
+    server.start()
+    pipe.send((platform.address, server.address))
+    pipe.recv()
+    server.stop()
+    platform.stop()
+
+
+@contextmanager
+def _standins() -> Iterator[tuple[str, str]]:
+    context = multiprocessing.get_context('spawn')
+    pipe, far = context.Pipe()
+    process = context.Process(target=_serve_standins, args=(far,))
+    process.start()
+    addresses = pipe.recv()
+    yield addresses[0], addresses[1]
+    pipe.send('stop')
+    process.join()
+
+
+def _grant(shards: int, version: int, reading: ServerAnswer) -> SendGrant:
+    return SendGrant(
+        HOME,
+        'pool',
+        'server',
+        1,
+        version,
+        reading.incarnation,
+        reading.clock + 60,
+        tuple((shard, 1) for shard in range(shards)),
+    )
+
+
+def measure_calls() -> Iterator[Series]:
+    """Calls of a host to the platform and to keyed servers."""
+    with _standins() as (platform_address, server_address):
+        client = GrantClient(server_address, RealClock(), 0.7, 5)
+        reading = client.probe(0)
+        assert reading is not None
+        renewals = []
+        lists = []
+        for count in CALL_COUNTS:
+            first = _grant(1, 1, reading)
+            client.send(first, 0)
+            renewal = replace(first, shards=None)
+
+            def renew() -> None:
+                for _ in range(count):
+                    assert isinstance(client.send(renewal, 0), ServerAnswer)
+
+            renewals.append((count, cpu_ms(renew)))
+        for shards in (64, 256, 1024):
+            whole = _grant(shards, 2, reading)
+            lists.append((shards, cpu_ms(partial(client.send, whole, 0), 40)))
+        yield fit('renewal', 'renewals', 'cpu ms', renewals)
+        yield fit('list of grants', 'shards', 'cpu ms', lists)
+        platform = HttpPlatform(platform_address, 'a', 5)
+        reads = []
+        writes = []
+        for count in CALL_COUNTS:
+
+            def read() -> None:
+                for _ in range(count):
+                    platform.read('config', 'head')
+
+            def write() -> None:
+                for _ in range(count):
+                    platform.commit([], [Write('lease', 'a', {'renewal': 'n'})])
+
+            reads.append((count, cpu_ms(read)))
+            writes.append((count, cpu_ms(write)))
+        yield fit('platform read', 'reads', 'cpu ms', reads)
+        yield fit('platform write', 'writes', 'cpu ms', writes)
+
+
+class _Forever(Authority):
+    """An authority that is always in force."""
+
+    def term(self, now: float) -> int:
+        return 1
+
+
+class _Plan:
+    def plan(
+        self,
+        shards: Mapping[int, str | None],
+        servers: Mapping[str, float],
+        limit: int,
+    ) -> tuple[duties.Move, ...]:
+        moves = placement.plan(shards, servers, limit)
+        return tuple(duties.Move(m.shard, m.source, m.target) for m in moves)
+
+
+def _coordinator(servers: int, shards_each: int) -> Coordinator:
+    """Make a coordinator with a settled pool in one zone."""
+    count = servers * shards_each // 256 * 256
+    upstreams = tuple(
+        Upstream(f's{number}', '127.0.0.1:1', HOME.zone)
+        for number in range(servers)
+    )
+    pool = Pool('pool', PoolKind.KEYED, upstreams, shard_count=count)
+    nonces = (f'n{number}' for number in itertools.count())
+    own = HostRef('h0', 1)
+    machine = _Forever(HOME, own, lambda: next(nonces))
+    duty = Coordinator(machine, HOME.zone, _Plan(), lambda: next(nonces))
+    duty.members = tuple(HostRef(f'h{number}', 1) for number in range(383))
+    duty.configure(Document(version=1, pools={'pool': pool}))
+    rows = {
+        f'pool/{index:05d}': StoredRow(
+            1,
+            encode_segment(
+                Segment(
+                    'pool',
+                    index,
+                    HOME,
+                    1,
+                    tuple(
+                        Assignment(f's{(index * 256 + n) % servers}', 1)
+                        for n in range(256)
+                    ),
+                ),
+                'n',
+            ),
+        )
+        for index in range(count // 256)
+    }
+    duty.tick(1)
+    duty.scanned(1, rows, 1)
+    return duty
+
+
+def _tick(duty: Coordinator, now: Iterator[float]) -> None:
+    duty.tick(next(now))
+
+
+def _share(duty: Coordinator, known: Revision, now: Iterator[float]) -> None:
+    assert duty.share(None, known, next(now)) is not None
+
+
+def measure_coordinator() -> Iterator[Series]:
+    """A settled coordinator: its tick each 50 ms and its statement."""
+    ticks = []
+    statements = []
+    for servers in (100, 400, 1150):
+        duty = _coordinator(servers, 38)
+        now = (1.05 + 0.001 * n for n in itertools.count())
+        duty.tick(next(now))
+        known = Revision(1, 10**9)
+        tick = partial(_tick, duty, now)
+        ticks.append((servers, cpu_ms(tick, 20)))
+        share = partial(_share, duty, known, now)
+        statements.append((servers, cpu_ms(share, 20)))
+    yield fit('coordinator tick', 'servers', 'cpu ms', ticks)
+    yield fit('coordinator statement', 'servers', 'cpu ms', statements)
+
+
 def main() -> None:
     """Run all measurements; arguments choose some by name."""
     kinds = {
@@ -498,6 +677,8 @@
         'membership': measure_membership,
         'sketch': measure_sketch,
         'precision': measure_precision,
+        'calls': measure_calls,
+        'coordinator': measure_coordinator,
     }
     print(
         f'{"":24}{"per":18}{"unit":13}{"slope":>12}{"intercept":>12}{"residual":>11}'
--- a/src/oriolearch/authorities.py
+++ b/src/oriolearch/authorities.py
@@ -180,7 +180,7 @@
             duty.members = tuple(member.ref for member in members)
             duty.homes = self.homes
             duty.hot_keys = self.hot_keys
-            share = duty.share_all(known.get(key), now)
+            share = duty.share(None, known.get(key), now)
             if share is not None:
                 # Segments handed to other homes are among them: a host that
                 # missed this would use the old owner with new permits.
--- a/src/oriolearch/core/coordinator.py
+++ b/src/oriolearch/core/coordinator.py
@@ -7,15 +7,15 @@
 predecessor had begun.
 """
 
-from collections.abc import Collection, Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass, field, replace
-from hashlib import blake2b
 from itertools import chain
 from typing import Protocol, TypeVar
 
 from oriolearch.core.authority import COMMIT_PATIENCE_S, Authority, Nonces
 from oriolearch.core.errors import InvariantError, ValidationError
 from oriolearch.core.grants import MAX_FAILURES, PERMIT_S, Granter, ServerKey
+from oriolearch.core.membership import Rendezvous
 from oriolearch.core.messages import (
     AuthorityKey,
     Mandate,
@@ -217,6 +217,7 @@
     listed: int = -1
     hinted: float = 0.0
     planned: float = 0.0
+    charged: tuple[int, tuple[HostRef, ...]] | None = None
 
 
 def _number(
@@ -230,15 +231,6 @@
             releases[name] = replace(release, version=version)
 
 
-def rendezvous(refs: Iterable[HostRef], name: str) -> HostRef | None:
-    """Choose a host for a name; few choices change when hosts change."""
-    return max(
-        refs,
-        key=lambda ref: blake2b(f'{ref.host}/{name}'.encode()).digest(),
-        default=None,
-    )
-
-
 class Coordinator:
     """Acts for one authority while this host holds it.
 
@@ -270,6 +262,7 @@
         self.order_limits: dict[str, float] = {}
         self._planner = planner
         self._nonces = nonces
+        self._renewers = Rendezvous('renewer')
         self._term: _Term | None = None
 
     def configure(self, document: Document) -> None:
@@ -399,11 +392,15 @@
 
     def share(
         self,
-        host: HostRef,
+        host: HostRef | None,
         known: Revision | None,
         now: float,
     ) -> Share | None:
-        """Answer a sync; ``None`` without a valid authority."""
+        """Answer a sync; ``None`` without a valid authority.
+
+        :param host: whose mandates to give; ``None`` for those of all hosts,
+            which costs one pass over the servers.
+        """
         term = self._current(now)
         if term is None or not term.is_recovered:
             return None
@@ -422,19 +419,6 @@
             changed,
         )
 
-    def share_all(self, known: Revision | None, now: float) -> Share | None:
-        """Give what all hosts are to know, with the mandates of each."""
-        share = self.share(self.authority.ref, known, now)
-        term = self._current(now)
-        if share is None or term is None:
-            return None
-        mandates = tuple(
-            replace(mandate, renewer=host)
-            for host in self.members
-            for mandate in self._mandates(term, host, now)
-        )
-        return replace(share, mandates=mandates)
-
     def working_pools(self, now: float) -> frozenset[str]:
         """Give the pools that have a server here that can take shards."""
         term = self._current(now)
@@ -537,17 +521,22 @@
         return frozenset() if is_pinned else self.document.zones_out
 
     def _charge_renewers(self, term: _Term) -> None:
-        names = {
-            (pool.name, upstream.name)
-            for pool in self._pools()
-            for upstream in pool.upstreams
-            if upstream.zone == self.key.zone
-        }
         # The loss of the coordinator should not end the renewals as well.
         others = [ref for ref in self.members if ref != self.authority.ref]
-        for name in sorted(names):
-            server = term.servers.setdefault(name, _Server())
-            server.renewer = rendezvous(others or self.members, name[1])
+        charged = self.document.version, tuple(others or self.members)
+        if charged == term.charged:
+            return
+        term.charged = charged
+        refs = {ref.host: ref for ref in charged[1]}
+        self._renewers.update(refs)
+        for pool in self._pools():
+            for upstream in pool.upstreams:
+                if upstream.zone != self.key.zone:
+                    continue
+                name = pool.name, upstream.name
+                server = term.servers.setdefault(name, _Server())
+                host = self._renewers.choose(upstream.name)
+                server.renewer = refs[host] if host else None
 
     def _target_zone(
         self,
@@ -1043,11 +1032,12 @@
     def _mandates(
         self,
         term: _Term,
-        host: HostRef,
+        host: HostRef | None,
         now: float,
     ) -> Iterator[Mandate]:
         for (pool, name), server in term.servers.items():
-            if server.renewer == host:
+            renewer = server.renewer
+            if renewer is not None and host in {None, renewer}:
                 mandate = Mandate(
                     self.key,
                     term.granter.term,
@@ -1057,5 +1047,6 @@
                     0,
                     server.shards,
                     server.keys,
+                    renewer,
                 )
-                yield term.granter.charge(host, mandate, now)
+                yield term.granter.charge(renewer, mandate, now)
