Publish rows of other homes without owners in pools without fencing

Cause: a coordinator that had read the row of a segment of another home published it with its owners. A host took it as newer than the withdrawal that the home had published and kept its permit for the home's revision, so it could send to the old owner while the new one was served. Ruled out: the permits themselves, whose revision and ends were right. The new test fails without it for the pool without fencing and passes with it.

--- a/src/oriolearch/core/coordinator.py
+++ b/src/oriolearch/core/coordinator.py
@@ -408,8 +408,8 @@
         if known is not None and known.term == term.granter.term:
             since = known.number
         changed = tuple(
-            held.segment if key in term.others else self._published(term, held)
-            for key, held in chain(term.held.items(), term.others.items())
+            self._published(term, held)
+            for held in chain(term.held.values(), term.others.values())
             if held.changed > since and held.segment.version
         )
         revision = Revision(term.granter.term, term.number)
@@ -948,6 +948,8 @@
             if upstream.zone == zone
             and upstream.name not in self.document.hosts_out
         }
+        if not servers:
+            return
         owners: dict[int, str | None] = dict.fromkeys(free)
         moves = self._planner.plan(owners, servers, 0)
         chosen: dict[int, str | None] = {
@@ -1015,15 +1017,18 @@
         pool = self.document.pools.get(segment.pool)
         if pool is not None and pool.fencing is Fencing.CHECKED:
             return segment
+        # Only the coordinator of its home knows which owners of the row have
+        # been withdrawn, so any other one publishes the row without owners.
+        is_elsewhere = segment.home != self.key
         shards = tuple(
             Assignment(None, one.epoch)
-            if (segment.pool, shard) in term.releases
+            if is_elsewhere or (segment.pool, shard) in term.releases
             else one
             for shard, one in shard_numbers(segment)
         )
         keys = {
             name: Assignment(None, one.epoch)
-            if (segment.pool, name) in term.key_releases
+            if is_elsewhere or (segment.pool, name) in term.key_releases
             else one
             for name, one in segment.keys.items()
         }
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -1,5 +1,6 @@
 """Guards the number of row writes, and the rows themselves."""
 
+from dataclasses import replace
 from types import MappingProxyType
 
 import pytest
@@ -17,13 +18,14 @@
 from oriolearch.core.model import (
     Assignment,
     Document,
+    Fencing,
     HostRef,
     Mobility,
     Pool,
     PoolKind,
     Upstream,
 )
-from oriolearch.core.rows import Commit, Committed
+from oriolearch.core.rows import Commit, Committed, StoredRow
 from oriolearch.simulated_servers import BalancedPlanner
 
 ZONES = 'abcdef'
@@ -143,3 +145,35 @@
     row.pop(lacking)
     with pytest.raises(ValidationError):
         segments.decode_segment(('p', 0), 1, row)
+
+
+@pytest.mark.parametrize(
+    ('fencing', 'owner'),
+    [(Fencing.NONE, None), (Fencing.CHECKED, 'b0')],
+)
+def test_row_of_another_home_is_published_without_owners(
+    fencing: Fencing,
+    owner: str | None,
+) -> None:
+    """Only its home knows which owners of a row have been withdrawn.
+
+    In the soak, seed 101024, step 80, a host replaced a withdrawal by the
+    newer row that the coordinator of another zone had read, kept its permit,
+    and so could send to the old owner while the new one was served.
+    """
+    driven = Driven('a')
+    driven.pool = replace(driven.pool, fencing=fencing)
+    driven.configure(frozenset(), 2)
+    home = AuthorityKey('b', Mobility.MOVABLE)
+    shards = (Assignment('b0', 3),) * 256
+    segment = Segment('p', 1, home, 7, shards, {'k': Assignment('b0', 3)})
+    row = segments.encode_segment(segment, 'n')
+    driven.coordinator.tick(1)
+    stored = {segments.segment_row_key(('p', 1)): StoredRow(7, row)}
+    driven.coordinator.scanned(1, stored, 1)
+    share = driven.coordinator.share(HOST, None, 1)
+    assert share is not None
+    found = next(one for one in share.segments if one.index == 1)
+    assert {one.owner for one in found.shards} == {owner}
+    assert found.keys['k'].owner == owner
+    assert found.version == 7
