Refuse marks of unknown names; answer an edit once it is in force here

Cause: a misspelt zone was taken out by name only, and a command right after an edit met a conflict, because the host asked had not applied it yet.

--- a/src/oriolearch/cluster.py
+++ b/src/oriolearch/cluster.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import hashlib
+import itertools
+import os
 import secrets
 import socket
 import threading
@@ -30,6 +32,10 @@
 SERVICE_S = 0.004  # duration of a run at an upstream
 START_LIMIT_S = 20.0
 POLL_S = 0.02
+FIRST_PORT = 20000
+PORT_COUNT = 10000
+
+_numbers = itertools.count(os.getpid() * 97)  # processes start apart
 
 _Result = TypeVar('_Result')
 
@@ -38,13 +44,23 @@
     """The installation did not come into a state in time."""
 
 
+def _is_free(port: int) -> bool:
+    try:
+        socket.create_server(('127.0.0.1', port)).close()
+    except OSError:
+        return False
+    return True
+
+
 def free_addresses(count: int) -> list[str]:
-    """Find free loopback addresses by binding all of them at once."""
-    sockets = [socket.create_server(('127.0.0.1', 0)) for _ in range(count)]
-    found = [f'127.0.0.1:{one.getsockname()[1]}' for one in sockets]
-    for one in sockets:
-        one.close()
-    return found
+    """Find free loopback addresses.
+
+    They lie below the range of ports that the system gives to clients and to
+    port 0, so that nothing takes them before the hosts bind them.
+    """
+    ports = (FIRST_PORT + number % PORT_COUNT for number in _numbers)
+    free = itertools.islice(filter(_is_free, ports), count)
+    return [f'127.0.0.1:{port}' for port in free]
 
 
 @dataclass(slots=True)
--- a/src/oriolearch/core/configuration.py
+++ b/src/oriolearch/core/configuration.py
@@ -4,7 +4,7 @@
 of operations, each of which names one route, pool, zone or host.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, replace
 from enum import StrEnum
 from itertools import combinations
@@ -112,6 +112,28 @@
             return replace(document, hosts_out=document.hosts_out - name)
 
 
+def check_marks(
+    operations: Iterable[Operation],
+    zones: Collection[str],
+    hosts: Collection[str],
+) -> None:
+    """Refuse to take out a zone or host that nobody knows.
+
+    :param hosts: hosts of the system and upstreams.
+    :raises ValidationError: names the one that is unknown.
+    """
+    known = {Kind.ZONE_OUT: zones, Kind.HOST_OUT: hosts}
+    for operation in operations:
+        names = known.get(operation.kind)
+        if names is not None and operation.name not in names:
+            raise ValidationError(
+                'edit',
+                operation.kind.value,
+                operation.name,
+                f'is not one of {", ".join(sorted(names))}',
+            )
+
+
 def apply_operations(
     document: Document,
     operations: Iterable[Operation],
--- a/src/oriolearch/host.py
+++ b/src/oriolearch/host.py
@@ -17,7 +17,7 @@
 from oriolearch.adapters.telemetry import make_telemetry
 from oriolearch.clock import RealClock
 from oriolearch.control import Control, ControlPorts
-from oriolearch.core.configuration import Change, Operation
+from oriolearch.core.configuration import Change, Operation, check_marks
 from oriolearch.core.model import Document, HostRef, Member
 from oriolearch.core.view import View
 from oriolearch.ports import Clock
@@ -25,6 +25,7 @@
 from oriolearch.settings import Settings
 from oriolearch.supervision import Supervisor
 
+EDIT_WAIT_S = 2.0  # for an accepted edit to reach the host that took it
 DRAIN_S = 2.0  # time that the balancer needs to notice a host that leaves
 
 
@@ -63,6 +64,7 @@
     ) -> tuple[Document, Mapping[str, Any]]:
         """Make an edit and tell what it moves."""
         before = self.document()
+        check_marks(operations, self._zones(), self._hosts(before))
         after = self.table.edit(
             version,
             operations,
@@ -70,7 +72,30 @@
             known=before,
             dry_run=dry_run,
         )
-        return after, self.host.control.effects_of(before, after)
+        effects = self.host.control.effects_of(before, after)
+        if not dry_run:
+            self._await_version(after.version)
+        return after, effects
+
+    def _await_version(self, version: int) -> None:
+        """Wait for a version here, so that the next edit can follow it."""
+        clock = self.host.clock
+        end = clock.monotonic() + EDIT_WAIT_S
+        published = self.host.published
+        view = published.view
+        while view.document.version < version and clock.monotonic() < end:
+            published.wait_for_newer(view, end - clock.monotonic())
+            view = published.view
+
+    def _zones(self) -> set[str]:
+        return {zone.name for zone in self.host.settings.zones}
+
+    def _hosts(self, document: Document) -> set[str]:
+        members = self.host.published.view.members
+        names = {member.ref.host for member in members}
+        for pool in document.pools.values():
+            names.update(upstream.name for upstream in pool.upstreams)
+        return names
 
     def history(self, limit: int) -> Iterable[Change]:
         """Give the latest edits, newest first."""
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -272,3 +272,17 @@
     assert change is not None
     with pytest.raises(errors.StaleError):
         configuration.apply_change(newer, change)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'name'),
+    [('zone-out', 'z'), ('host-out', 'a9'), ('host-out', 'a')],
+)
+def test_mark_of_an_unknown_name_is_refused(kind: str, name: str) -> None:
+    """A misspelt zone would be taken out of service by name only."""
+    unknown = operations({'kind': kind, 'name': name})
+    back = operations({'kind': kind.replace('out', 'back'), 'name': name})
+    with pytest.raises(errors.ValidationError) as caught:
+        configuration.check_marks(unknown, {'a'}, {'a1'})
+    assert caught.value.value == name
+    configuration.check_marks(back, {'a'}, {'a1'})
