--- a/Makefile
+++ b/Makefile
@@ -50,3 +50,5 @@
 STEPS ?= 200
 soak: $(STAMP)
 	$(BIN)/python -m oriolearch.soak --seed $(SEED) --steps $(STEPS)
+
+bench: bench-policy bench-datapath bench-zones
--- a/src/oriolearch/adapters/grants.py
+++ b/src/oriolearch/adapters/grants.py
@@ -134,7 +134,7 @@
             host,
             int(port),
             timeout=urllib3.Timeout(total=self.timeout_s),
-            maxsize=1,
+            maxsize=2,
             retries=False,
         )
 
--- a/src/oriolearch/cli.py
+++ b/src/oriolearch/cli.py
@@ -6,10 +6,12 @@
 import os
 import signal
 import sys
+import threading
 from collections.abc import Mapping, Sequence
+from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated, Any, NoReturn
+from typing import Annotated, Any, Literal, NoReturn
 
 import cappa
 
@@ -18,9 +20,14 @@
 from oriolearch.adapters.telemetry import configure_logging
 from oriolearch.core import configuration
 from oriolearch.core.errors import ConflictError, OriolearchError
+from oriolearch.core.model import Fencing
 from oriolearch.host import Host
 from oriolearch.schema import EditModel, parse, read_document
 from oriolearch.settings import Settings, read_json, read_settings
+from oriolearch.standins.keyed import KeyedStandin
+from oriolearch.standins.plain import PlainStandin
+from oriolearch.standins.platform import PlatformStandin
+from oriolearch.standins.upstream import UpstreamStandin
 
 TOKEN_VARIABLE = 'ORIOLEARCH_TOKEN'  # noqa: S105
 URL_VARIABLE = 'ORIOLEARCH_URL'
@@ -319,6 +326,39 @@
     await host.stop()
 
 
+@cappa.command(name='standin', help='Run a stand-in until interrupted')
+@dataclass
+class Standin:
+    """Prints its address; faults are set by ``POST /faults``."""
+
+    kind: Annotated[
+        Literal['platform', 'keyed', 'keyed-unchecked', 'plain'],
+        cappa.Arg(help='what it takes the place of'),
+    ]
+    port: Annotated[int, cappa.Arg(long='--port', help='0 takes any')] = 0
+
+    def __call__(self) -> None:
+        """Run the command."""
+        server = _standin(self.kind, self.port)
+        server.start()
+        print(f'{self.kind} {server.address}', flush=True)
+        with suppress(KeyboardInterrupt):
+            threading.Event().wait()
+        server.stop()
+
+
+def _standin(kind: str, port: int) -> PlatformStandin | UpstreamStandin:
+    match kind:
+        case 'platform':
+            return PlatformStandin(port=port)
+        case 'keyed':
+            return KeyedStandin(port=port)
+        case 'keyed-unchecked':
+            return KeyedStandin(port=port, fencing=Fencing.NONE)
+        case _:
+            return PlainStandin(port=port)
+
+
 @cappa.command(name='oriolearch', help='A router for servers that own keys')
 @dataclass
 class Oriolearch:
@@ -335,6 +375,7 @@
         | HostMark
         | Demo
         | Serve
+        | Standin
     ]
 
 
--- a/src/oriolearch/cluster.py
+++ b/src/oriolearch/cluster.py
@@ -159,7 +159,9 @@
         self.thread.join()
 
     def start_host(self, name: str) -> Host:
-        """Start a host, also again after it was lost."""
+        """Start a host, also a further one or one that was lost."""
+        if name not in self.places:
+            self.places[name] = Places(*free_addresses(3))
         host = Host(self.settings(name), RealClock(), self.seed)
         entry = {
             'zone': name[0],
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -7,6 +7,7 @@
 from oriolearch import demo
 from oriolearch.cluster import Cluster, Shape
 from oriolearch.standins.plain import ColdStart, PlainStandin
+from oriolearch.standins.platform import FaultsBody
 
 SHAPE = Shape(zones=('a', 'b'), hosts=2, plain=1, shard_count=512)
 
@@ -58,3 +59,14 @@
     )
     charged = {host.control.keeper.cold['files/file-b1'] for host in hosts}
     assert len(charged) == 1
+
+
+def test_host_starts_while_the_store_is_down(cluster: Cluster) -> None:
+    """Without disks, a host started in an outage has only its peers."""
+    cluster.platform.set_faults(FaultsBody(down=True))
+    host = cluster.start_host('b3')
+    try:
+        cluster.wait_until('served by peers alone', host.control.is_served, 60)
+        assert host.published.view.document.version == 1
+    finally:
+        cluster.platform.set_faults(FaultsBody(down=False))
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -86,3 +86,11 @@
     assert '127.0.0.1:1 did not' in capsys.readouterr().err
     assert status_of(['show', '--url', 'http://127.0.0.1:2']) == 1
     assert '127.0.0.1:2 did not' in capsys.readouterr().err
+
+
+def test_example_for_embedders(capsys: pytest.CaptureFixture[str]) -> None:
+    """An example that no longer runs sends embedders away."""
+    page = (ROOT / 'docs' / 'embedding.md').read_text('utf-8')
+    code = page.partition('```python\n')[2].partition('```')[0]
+    exec(code, {})  # noqa: S102, WPS421
+    assert capsys.readouterr().out == 'unknown\n'
