--- a/tests/test_grant_client.py
+++ b/tests/test_grant_client.py
@@ -1,12 +1,14 @@
 """The renewer's client: ends of grants in the server's own clock."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
 from oriolearch.adapters.grants import GrantClient, GrantStatus, ServerClock
 from oriolearch.clock import ManualClock, RealClock
+from oriolearch.core.grants import SendGrant, ServerAnswer, ServerRefusal
 from oriolearch.core.messages import AuthorityKey, Mandate
 from oriolearch.core.model import FIXED_MARGIN_S, RATE_MARGIN, Mobility
 from oriolearch.standins.keyed import KeyedStandin
@@ -217,3 +219,65 @@
     outcome = granter.renew(MANDATE)
     assert outcome.status is GrantStatus.UNKNOWN
     assert outcome.ends_at == 1000 + GRANT_S
+
+
+def sending(version: int, **changes: Any) -> SendGrant:
+    """A grant as the renewer's state machine asks for it."""
+    grant = SendGrant(
+        MANDATE.authority,
+        'p',
+        's',
+        5,
+        version,
+        1,
+        SERVER_START_S + GRANT_S,
+        MANDATE.shards,
+    )
+    return replace(grant, **changes)
+
+
+def test_send_confirms_the_list_that_the_server_holds(
+    standin: KeyedStandin,
+) -> None:
+    """The renewer must know which list is in force, and of which run."""
+    granter = client(standin)
+    reading = granter.probe(9)
+    assert reading is not None and reading.sent == 9
+    first = sending(3, incarnation=reading.incarnation)
+    assert granter.send(first, 10) == ServerAnswer(
+        10,
+        reading.incarnation,
+        SERVER_START_S,
+        3,
+        is_settled=True,
+    )
+    renewal = replace(first, shards=None, expires_at=SERVER_START_S + 2)
+    assert isinstance(granter.send(renewal, 11), ServerAnswer)
+    assert standin.grants['a/movable'].expires_at == SERVER_START_S + 2
+
+
+@pytest.mark.parametrize(
+    ('changes', 'reason'),
+    [
+        ({'term': 4}, 'term'),
+        ({'version': 2}, 'version'),
+        ({'version': 4, 'shards': None}, 'version'),
+        ({'incarnation': 99}, 'incarnation'),
+    ],
+)
+def test_send_gives_the_reason_of_a_refusal(
+    standin: KeyedStandin,
+    changes: dict[str, Any],
+    reason: str,
+) -> None:
+    """Each reason has another remedy: stop, send the list, read the clock."""
+    granter = client(standin)
+    reading = granter.probe(0)
+    assert reading is not None
+    held = sending(3, incarnation=reading.incarnation)
+    granter.send(held, 1)
+    outcome = granter.send(replace(held, **changes), 2)
+    assert outcome == ServerRefusal(2, reason)
+    standin.stop()
+    assert granter.probe(3) is None
+    assert granter.send(held, 4) is None
