--- a/src/oriolearch/adapters/host_links.py
+++ b/src/oriolearch/adapters/host_links.py
@@ -41,9 +41,11 @@
         line = json.dumps(message, separators=(',', ':'))
         self.writer.write(line.encode() + b'\n')
 
-    async def receive(self, timeout_s: float) -> Message:
+    async def receive(self, timeout_s: float | None) -> Message:
         """Give the next message.
 
+        :param timeout_s: ``None`` to wait without end.
+
         :raises PeerError: when there is none in time, or it is malformed.
         """
         try:
--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -30,9 +30,11 @@
     lease_clock,
     read_owners,
 )
+from oriolearch.placing import DeskServer
 from oriolearch.ports import SharedStore, StoredRow, TableState
 from oriolearch.registry import Registry
 
+CONSULTED = 8  # other hosts that are asked before a takeover
 SILENCE_S = 1.0  # without a beat for so long, the coordinator counts as lost
 REPORT_PERIOD_S = 0.4  # counts of keys are sent this often
 RECONNECT_S = 0.1  # a refused connection is tried again after this
@@ -187,7 +189,7 @@
         while not self.is_row_known:
             await asyncio.sleep(0.02)
         self.heard_at = lease_clock()
-        while not self.is_stopping:
+        while True:
             if self.leadership is None:
                 await self._find_coordinator(self.row)
             else:
@@ -294,10 +296,15 @@
 
     def _take_hosts(self, message: Message) -> None:
         hosts = message.get('hosts')
-        self.hosts = hosts if isinstance(hosts, int) else self.hosts
-        peers = message.get('peers')
-        if isinstance(peers, list):
-            self.peers = [str(peer) for peer in peers]
+        if isinstance(hosts, list):
+            self.take_hosts([str(host) for host in hosts])
+
+    def take_hosts(self, hosts: list[str]) -> None:
+        """Take the hosts that share the work."""
+        self.hosts = len(hosts)
+        others = [host for host in hosts if host != self.address]
+        self.peers = others[:CONSULTED]
+        self.forwarder.places.set_hosts(hosts)
 
     def take_owners(
         self,
@@ -311,7 +318,7 @@
             owners.reset(ranges)
         else:
             owners.update(ranges)
-        self.forwarder.wake()
+        self.forwarder.owners_changed(pool)
 
     async def _report(self, link: HostLink) -> None:
         while True:
@@ -324,6 +331,7 @@
                         pool: list(found.items())
                         for pool, found in counts.items()
                     },
+                    'leaving': self.is_stopping,
                 },
             )
 
@@ -335,20 +343,31 @@
                 link.send({'kind': 'tell', 'hears': self._hears()})
                 await asyncio.sleep(CONSULT_TIMEOUT_S)
                 return
-            leadership = self.leadership
-            if leadership is None or first.get('kind') != 'hello':
-                return
-            leadership.add_link(link, str(first.get('address')))
-            try:
-                while not leadership.is_over:
-                    report = await link.receive(SILENCE_S)
-                    self._take_report(leadership, report)
-            finally:
-                leadership.drop_link(link)
-        except PeerError:
+            if first.get('kind') == 'places':
+                await DeskServer(self.forwarder.desk, link).run()
+            elif first.get('kind') == 'hello' and self.leadership is not None:
+                address = str(first.get('address'))
+                await self._serve_member(self.leadership, link, address)
+        except (PeerError, ValueError, LookupError):
             # The other host logs the loss; it connects again if it lives.
             return
 
+    async def _serve_member(
+        self,
+        leadership: Leadership,
+        link: HostLink,
+        address: str,
+    ) -> None:
+        leadership.add_link(link, address)
+        try:
+            while not leadership.is_over:
+                report = await link.receive(SILENCE_S)
+                if report.get('leaving'):
+                    leadership.set_leaving(link)
+                self._take_report(leadership, report)
+        finally:
+            leadership.drop_link(link)
+
     def _hears(self) -> int:
         if self.leadership is not None and not self.leadership.is_stuck():
             return self.leadership.row.term
@@ -434,6 +453,7 @@
         leadership.confirmed_at = began_at
         leadership.is_predecessor_over = was_ended
         leadership.local_changes = self.take_owners
+        leadership.local_hosts = self.take_hosts
         leadership.step_down = self._end_term
         self.leadership = leadership
         self.spawn(leadership.run())
@@ -445,8 +465,6 @@
             counts = self._take_counts()
             for pool, found in counts.items():
                 leadership.count_keys(pool, found)
-            self.hosts = len(leadership.links) + 1
-            self.peers = sorted(set(leadership.links.values()))[:8]
 
     def _end_term(self, reason: str) -> None:
         leadership = self.leadership
@@ -503,6 +521,8 @@
         While the store is away nobody can take over, so the work goes on.
         """
         self.is_stopping = True
+        if self.leadership is not None:
+            self.leadership.set_leaving(None)
         while self.leadership is not None:
             leadership = self.leadership
             leadership.is_paused = True
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -172,7 +172,7 @@
     SETTINGS_READ = EventKind(
         405,
         logging.INFO,
-        ('retry_share', 'cold_rate'),
+        ('retry_share', 'cold_burst'),
         'The settings file was read again.',
     )
     SETTINGS_REJECTED = EventKind(
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -10,16 +10,27 @@
     Answer,
     LinkError,
     LinkPool,
-    LinkRefusedError,
 )
 from oriolearch.core.directory import (
+    Incarnation,
     Repeat,
     RoutePlan,
     UpstreamEntry,
 )
-from oriolearch.core.dispatching import Dispatcher, Lane, Waiter
+from oriolearch.core.dispatching import Dispatcher, Waiter
 from oriolearch.core.keyranges import OwnerMap
+from oriolearch.core.retries import Budget
 from oriolearch.eventlog import Event, EventLog
+from oriolearch.placing import (
+    Desk,
+    EndKind,
+    Ending,
+    Outcome,
+    Place,
+    PlaceMovedError,
+    PlaceRefusedError,
+    Places,
+)
 from oriolearch.ports import RequestHead, Verdict
 from oriolearch.registry import Registry
 
@@ -27,7 +38,11 @@
 ANSWER_GRACE_S = 0.1  # an upstream's own refusal at the deadline is awaited
 RETRY_AFTER_UNREADY_S = 0.5  # a starting host usually has its configuration
 RECHECK_S = 0.03  # waiting requests are looked at this often
-OWNER_RETRY_S = 0.06  # a moving key has its new owner within a few calls
+OWNER_RETRY_S = 0.05  # after an upstream that does not hold the key
+OWNER_WAIT_S = 0.8  # a moving key has its new owner within a few calls
+OWNER_LOST_RETRY_S = 1.0  # a lost owner is replaced within some seconds
+NO_BUDGET_RETRY_S = 0.2  # second sends are earned by then
+RETRY_BURST = 3.0  # second sends that a host may save up
 FEWEST_LEFT_S = 0.01  # with less time a request is not sent
 
 
@@ -66,6 +81,8 @@
     """A request with what was done for it.
 
     :ivar sends: upstreams that it was sent to and that may have run it.
+    :ivar arrivals: upstreams that it may have arrived at.
+    :ivar is_over: its time is over.
     """
 
     def __init__(
@@ -74,6 +91,7 @@
         head: RequestHead,
         route: RoutePlan,
         pool: str,
+        is_keyed: bool,
     ) -> None:
         self.request = request
         self.head = head
@@ -84,17 +102,35 @@
         self.sends = 0
         self.arrivals = 0
         self.last_problem = ''
+        self.is_over = False
+        self.is_keyed = is_keyed
+        self.key = head.key or 0
+        self.owner: Incarnation | None = None
+        self.tried: frozenset[Incarnation] = frozenset()
+
+    def waiter(self, zone: str) -> Waiter:
+        """Give what asks for a place."""
+        return Waiter(
+            zone=zone,
+            priority=self.route.priority,
+            aim_at=self.request.received_at + self.route.aim_s,
+            useful_until=self.deadline,
+            owner=self.owner,
+            is_upload=self.route.is_upload,
+            tried=self.tried,
+        )
 
 
 class Forwarder:
     """Serves the requests of one host.
 
-    :param notify: called with each key that is asked for, and its pool.
+    :ivar count_key: called with each key that is asked for, and its pool.
     """
 
     def __init__(
         self,
         zone: str,
+        address: str,
         registry: Registry,
         wire: RequestWire,
         log: EventLog,
@@ -106,26 +142,48 @@
         self.log = log
         self.rng = rng
         self.owners: dict[str, OwnerMap] = {}
-        self.dispatchers: dict[str, Dispatcher] = {}
+        self.desk = Desk()
+        self.desk.note_cold = self._note_cold
+        self.places = Places(address, self.desk)
+        self.retries: dict[str, Budget] = {}
         self.links: dict[str, LinkPool] = {}
-        self.wakers: dict[Waiter, asyncio.Future[None]] = {}
+        self.asking: dict[Outcome, _Job] = {}
+        self.owner_waits: dict[asyncio.Future[None], _Job] = {}
         self.served: dict[str, dict[str, float]] = {}
         self.count_key: Callable[[str, int], None] = _ignore
         self.retry_share = 0.0
-        self.cold_rate = 0.0
+        self.cold_burst = 1.0
         registry.listeners.append(self.refresh)
 
-    def set_shares(self, retry_share: float, cold_rate: float) -> None:
-        """Set this host's share of what all hosts may send."""
+    def set_limits(self, retry_share: float, cold_burst: float) -> None:
+        """Set limits that the platform's bounds give.
+
+        :param retry_share: second sends of this host for each request.
+        :param cold_burst: requests that a cold upstream may get at once.
+        """
         self.retry_share = retry_share
-        self.cold_rate = cold_rate
-        for dispatcher in self.dispatchers.values():
-            dispatcher.set_share(retry_share, cold_rate)
+        self.cold_burst = cold_burst
+        for budget in self.retries.values():
+            budget.share = retry_share
+        for dispatcher in self.desk.dispatchers.values():
+            dispatcher.cold_burst = cold_burst
 
     def owner_map(self, pool: str) -> OwnerMap:
         """Give the owners of the keys of a pool."""
         return self.owners.setdefault(pool, OwnerMap())
 
+    def owners_changed(self, pool: str) -> None:
+        """Look again at the requests that wait for or at an owner."""
+        owners = self.owner_map(pool)
+        for woken, job in list(self.owner_waits.items()):
+            if job.pool == pool and not woken.done():
+                if owners.find(job.key).owner is not None:
+                    woken.set_result(None)
+        for outcome, job in list(self.asking.items()):
+            if job.pool == pool and not outcome.done():
+                if owners.find(job.key).owner != job.owner:
+                    outcome.set_exception(PlaceMovedError(pool))
+
     def refresh(self) -> None:
         """Take changes of the registry."""
         directory = self.registry.directory
@@ -133,16 +191,15 @@
             return
         now = _now()
         for plan in directory.pools.values():
-            dispatcher = self.dispatchers.get(plan.name)
+            dispatcher = self.desk.dispatchers.get(plan.name)
             if dispatcher is None:
-                dispatcher = Dispatcher(
-                    plan,
-                    self.zone,
-                    self.owner_map(plan.name),
-                    self.rng,
+                dispatcher = Dispatcher(plan, self.rng, self.cold_burst)
+                self.desk.dispatchers[plan.name] = dispatcher
+                self.retries[plan.name] = Budget(
+                    self.retry_share,
+                    RETRY_BURST,
+                    RETRY_BURST,
                 )
-                dispatcher.set_share(self.retry_share, self.cold_rate)
-                self.dispatchers[plan.name] = dispatcher
             dispatcher.plan = plan
             dispatcher.set_upstreams(
                 now,
@@ -151,19 +208,14 @@
                 self.registry.cold_until,
             )
         self._forget_links()
-        self.wake()
-
-    def wake(self) -> None:
-        """Look at all waiting requests."""
-        for dispatcher in self.dispatchers.values():
-            self._grant(dispatcher)
+        self.desk.wake()
 
     async def run(self) -> None:
-        """Look at waiting requests and idle connections from time to time."""
+        """Look at waiting requests from time to time."""
         while True:
             await asyncio.sleep(RECHECK_S)
-            if self.wakers:
-                self.wake()
+            self.desk.wake()
+            self.places.check()
 
     def sweep(self) -> None:
         """Close upstream connections that were idle for too long."""
@@ -188,36 +240,26 @@
             return _refusal_reply(refusal)
 
     async def _serve(
-        self, request: IncomingRequest, head: RequestHead
+        self,
+        request: IncomingRequest,
+        head: RequestHead,
     ) -> Reply:
         job = self._make_job(request, head)
-        route = job.route
-        dispatcher = self.dispatchers[job.pool]
-        dispatcher.retries.earn()
-        key = head.key if dispatcher.plan.is_keyed else None
-        waiter = Waiter(
-            priority=route.priority,
-            arrived_at=request.received_at,
-            useful_until=job.deadline,
-            aim_at=request.received_at + route.aim_s,
-            key=key,
-            is_upload=route.is_upload,
-        )
+        self.retries[job.pool].earn()
         while True:
-            lane = await self._acquire(dispatcher, job, waiter)
+            place = await self._acquire(job)
+            ending = Ending(EndKind.OTHER)
             try:
-                reply = await self._send(dispatcher, job, lane)
+                reply, ending = await self._send(job, place.upstream)
             finally:
-                dispatcher.done(lane)
-                self._grant(dispatcher)
+                place.end(ending)
             if reply is not None:
                 return reply
-            self._check_resend(dispatcher, job)
-            waiter.place = None
-            if key is None:
-                waiter.tried.add(lane.entry.ref)
-            else:
+            self._check_resend(job)
+            if job.is_keyed:
                 await asyncio.sleep(OWNER_RETRY_S)
+            else:
+                job.tried |= {place.upstream}
 
     def _make_job(self, request: IncomingRequest, head: RequestHead) -> _Job:
         directory = self.registry.directory
@@ -234,7 +276,7 @@
             if head.key is None:
                 raise _RefusedError(400, 'no-key')
             self.count_key(pool, head.key)
-        return _Job(request, head, route, pool)
+        return _Job(request, head, route, pool, plan.is_keyed)
 
     def _pick_pool(self, route: RoutePlan) -> str:
         """Take the destination that is furthest below its share."""
@@ -254,51 +296,81 @@
         served[chosen] -= 1
         return chosen
 
-    async def _acquire(
-        self,
-        dispatcher: Dispatcher,
-        job: _Job,
-        waiter: Waiter,
-    ) -> Lane:
-        """Wait for a place at an upstream."""
-        now = _now()
-        if now + FEWEST_LEFT_S >= job.deadline:
-            raise self._given_up(job)
-        dispatcher.submit(now, waiter)
-        if waiter.place is None and waiter.refused_for is None:
-            await self._wait(dispatcher, waiter)
-        if waiter.place is not None:
-            return waiter.place
-        if job.sends:
-            raise self._given_up(job)
-        raise _RefusedError(503, 'no-room', waiter.refused_for)
+    async def _acquire(self, job: _Job) -> Place:
+        """Wait for a place at an upstream.
 
-    async def _wait(self, dispatcher: Dispatcher, waiter: Waiter) -> None:
+        :raises _RefusedError: when there is none in time.
+        """
+        while True:
+            if _now() + FEWEST_LEFT_S >= job.deadline:
+                raise self._given_up(job, 'deadline', RETRY_AFTER_UNREADY_S)
+            if job.is_keyed:
+                job.owner = await self._find_owner(job)
+            try:
+                return await self._ask(job)
+            except PlaceMovedError:
+                continue
+            except PlaceRefusedError as refusal:
+                raise self._given_up(job, 'no-room', refusal.after_s) from None
+
+    async def _ask(self, job: _Job) -> Place:
+        outcome: Outcome = asyncio.get_running_loop().create_future()
+        self.asking[outcome] = job
+        try:
+            return await self.places.acquire(
+                job.pool,
+                job.waiter(self.zone),
+                outcome,
+            )
+        finally:
+            del self.asking[outcome]
+
+    async def _find_owner(self, job: _Job) -> Incarnation:
+        """Wait until the key has an owner.
+
+        :raises _RefusedError: when it has none for too long.
+        """
+        owners = self.owner_map(job.pool)
+        owner = owners.find(job.key).owner
+        if owner is not None:
+            return owner
         woken = asyncio.get_running_loop().create_future()
-        self.wakers[waiter] = woken
+        self.owner_waits[woken] = job
+        wait_s = min(OWNER_WAIT_S, job.deadline - FEWEST_LEFT_S - _now())
         try:
-            await woken
-        except asyncio.CancelledError:
-            if waiter.place is not None:
-                dispatcher.done(waiter.place)
-            raise
+            async with asyncio.timeout(wait_s):
+                await woken
+        except TimeoutError:
+            raise self._given_up(
+                job,
+                'no-owner',
+                OWNER_LOST_RETRY_S,
+            ) from None
         finally:
-            dispatcher.withdraw(waiter)
-            del self.wakers[waiter]
+            del self.owner_waits[woken]
+        return await self._find_owner(job)
 
-    def _given_up(self, job: _Job) -> _RefusedError:
+    def _given_up(
+        self,
+        job: _Job,
+        reason: str,
+        after_s: float,
+    ) -> _RefusedError:
+        """Give the refusal that says what is known of the request."""
         if job.sends:
-            return _RefusedError(504, f'deadline after {job.last_problem}')
-        return _RefusedError(503, 'deadline', RETRY_AFTER_UNREADY_S)
+            return _RefusedError(504, f'{reason} after {job.last_problem}')
+        return _RefusedError(503, reason, after_s)
 
     async def _send(
         self,
-        dispatcher: Dispatcher,
         job: _Job,
-        lane: Lane,
-    ) -> Reply | None:
-        """Send a request; ``None`` means that another send may be tried."""
-        entry = lane.entry
+        upstream: Incarnation,
+    ) -> tuple[Reply | None, Ending]:
+        """Send a request; no reply means that another send may be tried."""
+        entry = self._entry_of(job.pool, upstream)
+        if entry is None:
+            job.last_problem = 'unknown upstream'
+            return None, Ending(EndKind.OTHER)
         links = self.links.get(entry.address)
         if links is None:
             links = LinkPool(entry.address)
@@ -315,28 +387,30 @@
                 lambda found: self.wire.belongs(found, request_id),
             )
         except LinkError as error:
-            self._take_failure(dispatcher, job, lane, error)
-            return None
-        return self._take_answer(dispatcher, job, lane, answer, started)
+            return None, self._take_failure(job, entry, error)
+        return self._take_answer(job, entry, answer, _now() - started)
+
+    def _entry_of(
+        self,
+        pool: str,
+        upstream: Incarnation,
+    ) -> UpstreamEntry | None:
+        dispatcher = self.desk.dispatchers.get(pool)
+        lane = dispatcher.lanes.get(upstream) if dispatcher else None
+        return lane.entry if lane and lane.is_usable else None
 
     def _take_failure(
         self,
-        dispatcher: Dispatcher,
         job: _Job,
-        lane: Lane,
+        entry: UpstreamEntry,
         error: LinkError,
-    ) -> None:
-        now = _now()
+    ) -> Ending:
         job.last_problem = error.reason
-        is_late = now >= job.deadline
-        if not is_late:
-            dispatcher.failed(now, lane)
-        if isinstance(error, LinkRefusedError):
-            lane.paused_until = max(lane.paused_until, now + 0.2)
+        is_late = _now() >= job.deadline
         self.log.emit(
             Event.SEND_FAILED,
             request=job.head.request_id.decode('latin-1'),
-            upstream=lane.entry.ref.text(),
+            upstream=entry.ref.text(),
             reason=error.reason,
             was_sent=error.was_sent,
         )
@@ -345,84 +419,79 @@
         else:
             job.arrivals -= 1
         if is_late and job.sends:
-            raise _RefusedError(504, 'no answer in time')
+            job.is_over = True
+        return Ending(EndKind.OTHER if is_late else EndKind.FAILED)
 
     def _take_answer(
         self,
-        dispatcher: Dispatcher,
         job: _Job,
-        lane: Lane,
+        entry: UpstreamEntry,
         answer: Answer,
-        started: float,
-    ) -> Reply | None:
-        now = _now()
+        took_s: float,
+    ) -> tuple[Reply | None, Ending]:
         verdict = self.wire.judge(answer)
-        if verdict.load is not None:
-            dispatcher.loaded(now, lane, verdict.load)
         if verdict.cold_for_s:
-            self.registry.note_cold(now, lane.entry.ref, verdict.cold_for_s)
+            self._note_cold(entry.ref, verdict.cold_for_s)
         if verdict.is_not_run:
             job.last_problem = f'not run, {answer.status}'
-            if not verdict.is_misdirected:
-                dispatcher.shed(now, lane)
             self.log.emit(
                 Event.SEND_REJECTED,
                 request=job.head.request_id.decode('latin-1'),
-                upstream=lane.entry.ref.text(),
+                upstream=entry.ref.text(),
                 status=answer.status,
                 load=verdict.load,
             )
-            return None
+            is_shed = not verdict.is_misdirected
+            kind = EndKind.SHED if is_shed else EndKind.OTHER
+            return None, _ending(kind, took_s, verdict)
         job.sends += 1
+        reply: Reply | None = None
+        kind = EndKind.ANSWERED
         if not verdict.is_intact:
             job.last_problem = 'damaged answer'
-            dispatcher.failed(now, lane)
-            return None
-        if answer.status >= 500:
-            dispatcher.failed(now, lane)
+            kind = EndKind.FAILED
+        elif answer.status >= 500 and self._may_resend(job):
             job.last_problem = f'status {answer.status}'
-            if self._may_resend(dispatcher, job):
-                return None
+            kind = EndKind.FAILED
         else:
-            dispatcher.answered(now, lane, now - started)
-        return Reply(answer.status, answer.headers, answer.body)
+            reply = Reply(answer.status, answer.headers, answer.body)
+            if answer.status >= 500:
+                kind = EndKind.FAILED
+        return reply, _ending(kind, took_s, verdict)
 
-    def _may_resend(self, dispatcher: Dispatcher, job: _Job) -> bool:
+    def _note_cold(self, ref: Incarnation, for_s: float) -> None:
+        self.registry.note_cold(_now(), ref, for_s)
+
+    def _may_resend(self, job: _Job) -> bool:
         if job.route.repeat is Repeat.ONCE:
             return False
         if job.sends >= job.route.max_attempts:
             return False
-        return dispatcher.retries.tokens >= 1
+        return self.retries[job.pool].tokens >= 1
 
-    def _check_resend(self, dispatcher: Dispatcher, job: _Job) -> None:
+    def _check_resend(self, job: _Job) -> None:
         """Allow another send.
 
         :raises _RefusedError: when there is to be none.
         """
+        if job.is_over:
+            raise _RefusedError(504, 'no answer in time')
         if job.sends and job.route.repeat is Repeat.ONCE:
             raise _RefusedError(502, job.last_problem)
         if job.sends >= job.route.max_attempts:
             raise _RefusedError(502, job.last_problem)
-        if not job.arrivals:
-            return
-        if not dispatcher.may_retry():
+        if job.arrivals and not self.retries[job.pool].spend():
             status = 502 if job.sends else 503
             raise _RefusedError(
-                status, f'retry budget, {job.last_problem}', 0.2
+                status,
+                f'retry budget, {job.last_problem}',
+                NO_BUDGET_RETRY_S,
             )
 
-    def _grant(self, dispatcher: Dispatcher) -> None:
-        if not dispatcher.waiting:
-            return
-        for waiter in dispatcher.grant(_now()):
-            woken = self.wakers.get(waiter)
-            if woken is not None and not woken.done():
-                woken.set_result(None)
-
     def _forget_links(self) -> None:
         addresses = {
             lane.entry.address
-            for dispatcher in self.dispatchers.values()
+            for dispatcher in self.desk.dispatchers.values()
             for lane in dispatcher.lanes.values()
         }
         for address in list(self.links):
@@ -430,6 +499,10 @@
                 self.links.pop(address).close()
 
 
+def _ending(kind: EndKind, took_s: float, verdict: Verdict) -> Ending:
+    return Ending(kind, took_s, verdict.load, verdict.cold_for_s)
+
+
 def _refusal_reply(refusal: _RefusedError) -> Reply:
     headers = []
     if refusal.status == 503:
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -196,6 +196,10 @@
         self.read_pools: dict[str, StoredRow] = {}
         self.has_read = False
         self.links: dict[HostLink, str] = {}
+        self.leaving: set[HostLink] = set()
+        self.is_own_host_leaving = False
+        self.sent_hosts: list[str] = []
+        self.local_hosts: Callable[[list[str]], None] = _drop_hosts
         self.rates: dict[str, dict[int, float]] = {}
         self.local_changes: Callable[[str, list[OwnedRange], bool], None] = (
             _drop_changes
@@ -237,6 +241,7 @@
             if now >= beat_at:
                 beat_at = now + BEAT_PERIOD_S
                 self._beat()
+            self._send_hosts()
             self._step(now)
             self._publish()
             await asyncio.sleep(TICK_S)
@@ -251,13 +256,21 @@
     def add_link(self, link: HostLink, host: str) -> None:
         """Take the connection of a host, and tell it all owners."""
         self.links[link] = host
-        link.send(self._beat_message())
+        link.send({**self._beat_message(), 'hosts': self._hosts()})
         for pool, ownership in self.pools.items():
             link.send(_owners_message(pool, ownership.snapshot(), True))
 
     def drop_link(self, link: HostLink) -> None:
         """Forget the connection of a host."""
         self.links.pop(link, None)
+        self.leaving.discard(link)
+
+    def set_leaving(self, link: HostLink | None) -> None:
+        """Take that a host stops; ``None`` for the coordinator's own."""
+        if link is None:
+            self.is_own_host_leaving = True
+        else:
+            self.leaving.add(link)
 
     def count_keys(self, pool: str, counts: dict[int, int]) -> None:
         """Take how often keys were asked for since the last report."""
@@ -557,11 +570,30 @@
         return {
             'kind': 'beat',
             'term': self.row.term,
-            'hosts': len(self.links) + 1,
-            'peers': sorted(set(self.links.values()))[:8],
             'stuck': self.is_stuck(),
         }
 
+    def _hosts(self) -> list[str]:
+        """Give the addresses of the hosts that share the work."""
+        found = {
+            address
+            for link, address in self.links.items()
+            if link not in self.leaving
+        }
+        if not self.is_own_host_leaving and self.row.address:
+            found.add(self.row.address)
+        return sorted(found)
+
+    def _send_hosts(self) -> None:
+        hosts = self._hosts()
+        if hosts == self.sent_hosts:
+            return
+        self.sent_hosts = hosts
+        self.local_hosts(hosts)
+        message = {**self._beat_message(), 'hosts': hosts}
+        for link in list(self.links):
+            link.send(message)
+
 
 def _owners_message(
     pool: str,
@@ -597,5 +629,9 @@
     """Tell nobody."""
 
 
+def _drop_hosts(hosts: list[str]) -> None:
+    """Tell nobody."""
+
+
 def _drop_reason(reason: str) -> None:
     """Tell nobody."""
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -35,7 +35,7 @@
 STOP_POLL_S = 0.05  # a stopping host looks this often whether it is idle
 STOP_MARGIN_S = 0.5  # before the platform's SIGKILL
 RETRY_SAFETY = 0.7  # share of the common retry budget that is used
-COLD_SAFETY = 0.6  # share of a cold upstream's allowance that is used
+COLD_SAFETY = 0.5  # share of a cold upstream's slack that is used at once
 GC_THRESHOLD = 2000  # allocations; cycles are rare on the request path
 
 
@@ -51,6 +51,7 @@
         self.grants = GrantCalls()
         self.forwarder = Forwarder(
             settings.zone,
+            f'{settings.ip}:{settings.peer_port}',
             self.registry,
             Wire(),
             self.log,
@@ -153,17 +154,11 @@
             )
 
     def _share(self) -> None:
-        """Set this host's part of what all hosts may send together."""
+        """Set what this host may send beside the first sends."""
         bounds = self.settings.bounds
-        hosts = max(self.coordination.hosts, 1)
-        cold_rate = 0.0
-        directory = self.registry.directory
-        if directory is not None:
-            rates = [pool.cold_rate for pool in directory.pools.values()]
-            cold_rate = min(rates, default=0.0) * bounds.cold_overshoot
-        self.forwarder.set_shares(
+        self.forwarder.set_limits(
             bounds.retry_share * RETRY_SAFETY,
-            cold_rate * COLD_SAFETY / hosts,
+            max(bounds.cold_slack * COLD_SAFETY, 1.0),
         )
 
     def _reload(self) -> None:
@@ -176,7 +171,7 @@
         self.log.emit(
             Event.SETTINGS_READ,
             retry_share=self.forwarder.retry_share,
-            cold_rate=round(self.forwarder.cold_rate, 3),
+            cold_burst=self.forwarder.cold_burst,
         )
 
     async def _stop(self) -> None:
