--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -36,7 +36,7 @@
 
 CONSULTED = 8  # other hosts that are asked before a takeover
 SILENCE_S = 1.0  # without a beat for so long, the coordinator counts as lost
-REPORT_PERIOD_S = 0.4  # counts of keys are sent this often
+REPORT_PERIOD_S = 0.2  # counts of keys are sent this often
 RECONNECT_S = 0.1  # a refused connection is tried again after this
 TAKEOVER_SPREAD_S = 0.25  # hosts try one after the other, at random
 CONSULT_TIMEOUT_S = 0.4  # another host answers at once or not at all
@@ -103,7 +103,8 @@
         self.help_at = float('-inf')
         self.store_pause_s = RETRY_S
         self.is_stopping = False
-        self.changed = asyncio.Event()
+        self.server: asyncio.Server | None = None
+        self.peer_links: set[HostLink] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         forwarder.count_key = self.count_key
 
@@ -136,7 +137,18 @@
     async def listen(self) -> None:
         """Accept other hosts."""
         host, _, port = self.address.rpartition(':')
-        await listen(host, int(port), self._serve_peer)
+        self.server = await listen(host, int(port), self._serve_peer)
+
+    def close(self) -> None:
+        """Cancel all tasks and close all connections, without handover."""
+        self._end_term('the host ends')
+        for task in list(self.tasks):
+            task.cancel()
+        if self.server is not None:
+            self.server.close()
+        for link in list(self.peer_links):
+            link.close()
+        self.forwarder.places.close()
 
     async def follow(self) -> None:
         """Keep the row that names the coordinator up to date."""
@@ -171,7 +183,6 @@
         leadership = self.leadership
         if leadership and leadership.row_version < self.row_version:
             self._end_term('another host took over')
-        self.changed.set()
 
     def _take_row(self, row: StoredRow) -> None:
         self.row_version = row.version
@@ -323,20 +334,22 @@
     async def _report(self, link: HostLink) -> None:
         while True:
             await asyncio.sleep(REPORT_PERIOD_S)
-            counts = self._take_counts()
-            link.send(
-                {
-                    'kind': 'report',
-                    'keys': {
-                        pool: list(found.items())
-                        for pool, found in counts.items()
-                    },
-                    'leaving': self.is_stopping,
-                },
-            )
+            link.send(self._make_report())
+
+    def _make_report(self) -> Message:
+        return {
+            'kind': 'report',
+            'keys': {
+                pool: list(counts.items())
+                for pool, counts in self._take_counts().items()
+            },
+            'works': self.forwarder.works(),
+            'leaving': self.is_stopping,
+        }
 
     async def _serve_peer(self, link: HostLink) -> None:
         """Serve a connection of another host."""
+        self.peer_links.add(link)
         try:
             first = await link.receive(SILENCE_S)
             if first.get('kind') == 'ask':
@@ -351,6 +364,8 @@
         except (PeerError, ValueError, LookupError):
             # The other host logs the loss; it connects again if it lives.
             return
+        finally:
+            self.peer_links.discard(link)
 
     async def _serve_member(
         self,
@@ -376,11 +391,10 @@
         return 0
 
     def _take_report(self, leadership: Leadership, report: Message) -> None:
-        keys = report.get('keys')
-        if not isinstance(keys, dict):
-            return
-        for pool, counts in keys.items():
+        for pool, counts in report['keys'].items():
             leadership.count_keys(pool, {int(key): n for key, n in counts})
+        for pool, works in report['works'].items():
+            leadership.take_works(pool, works)
 
     async def _try_takeover(self, reason: str) -> None:
         """Try to become the coordinator."""
@@ -462,9 +476,7 @@
     async def _report_locally(self, leadership: Leadership) -> None:
         while not leadership.is_over:
             await asyncio.sleep(REPORT_PERIOD_S)
-            counts = self._take_counts()
-            for pool, found in counts.items():
-                leadership.count_keys(pool, found)
+            self._take_report(leadership, self._make_report())
 
     def _end_term(self, reason: str) -> None:
         leadership = self.leadership
--- a/src/oriolearch/core/balance.py
+++ b/src/oriolearch/core/balance.py
@@ -1,15 +1,24 @@
-"""Chooses which keys go to another upstream."""
+"""Chooses which keys go to another upstream.
 
+Rates of keys are estimated from few requests, so an upstream counts as busy
+only when its load is above what chance explains. A key that becomes hot
+stands out within a second; ordinary fluctuations move nothing.
+"""
+
+import math
+from bisect import bisect_left, bisect_right
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from itertools import accumulate
 
-from oriolearch.core.directory import Incarnation
+from oriolearch.core.directory import KEY_COUNT, Incarnation
 from oriolearch.core.ownership import KeyRange
 
 # A move interrupts a key for about one request, so small differences stay.
 OVERLOAD = 1.25  # of the mean load, from which an upstream gives keys away
-LEAST_GAIN = 0.1  # of the mean load, that a move must bring
-MOVES_AT_ONCE = 4  # of one plan; the next plan sees their effect
+SIGNIFICANT = 2.5  # standard deviations of the estimate that chance explains
+LEAST_GAIN = 0.08  # of the mean load, that a move must bring
+MOVES_AT_ONCE = 24  # of one plan; the next plan sees their effect
 COLD_SHARE = 0.3  # of its weight, that a cold upstream is given
 
 
@@ -33,27 +42,77 @@
     owner: Incarnation
 
 
+@dataclass(frozen=True, slots=True)
+class Span:
+    """Neighbouring keys; the last one belongs to them."""
+
+    first: int
+    last: int
+
+
+class KeyRates:
+    """Requests per second of keys, summed over ranges of keys.
+
+    :param rates: of keys with recent requests.
+    :param variance: of an estimated rate, as a share of the rate.
+    """
+
+    def __init__(
+        self,
+        rates: Mapping[int, float],
+        variance: float = 0.0,
+    ) -> None:
+        self.keys = sorted(rates)
+        self.sums = [0.0, *accumulate(rates[key] for key in self.keys)]
+        self.variance = variance
+        # Keys without a recent request share what a second of it would be.
+        self.base = max(self.sums[-1], 1.0) / 10 / KEY_COUNT
+
+    def between(self, first: int, last: int) -> float:
+        """Give the rate of neighbouring keys."""
+        start = bisect_left(self.keys, first)
+        end = bisect_right(self.keys, last)
+        busy = self.sums[end] - self.sums[start]
+        return busy + (last - first + 1) * self.base
+
+    def cut(self, keys: Span, wanted: float) -> tuple[int, float]:
+        """Find where the end of a range has about a wanted rate.
+
+        :returns: the first key of that end, and its rate.
+        """
+        first = min(keys.first + 1, keys.last)
+        last = keys.last
+        while first < last:
+            middle = (first + last) // 2
+            if self.between(middle, keys.last) > wanted:
+                first = middle + 1
+            else:
+                last = middle
+        above = max(first - 1, keys.first)
+        choices = (
+            (key, self.between(key, keys.last)) for key in (first, above)
+        )
+        return min(choices, key=lambda choice: abs(choice[1] - wanted))
+
+
 def plan_rescue(
     ranges: Iterable[KeyRange],
     seats: Sequence[Seat],
-    rates: Mapping[int, float],
+    rates: KeyRates,
 ) -> list[Move]:
-    """Move all keys of upstreams that may not own any.
-
-    :param rates: requests per second of single keys.
-    """
+    """Move all keys of upstreams that may not own any."""
     if not seats:
         return []
-    allowed = {seat.ref for seat in seats}
     found = list(ranges)
-    loads = _loads(found, seats, rates)
+    weights = {seat.ref: seat.weight for seat in seats}
+    loads = _loads(found, weights, rates)
     moves = []
     for keys in found:
-        if keys.owner in allowed:
+        if keys.owner in weights:
             continue
-        ratios = {seat.ref: loads[seat.ref] / seat.weight for seat in seats}
+        ratios = {ref: loads[ref] / weights[ref] for ref in weights}
         ref = min(ratios, key=ratios.__getitem__)
-        loads[ref] += _load(keys, rates)
+        loads[ref] += rates.between(keys.first, keys.last)
         moves.append(Move(keys.first, keys.last, ref))
     return moves
 
@@ -61,95 +120,102 @@
 def plan_balance(
     ranges: Iterable[KeyRange],
     seats: Sequence[Seat],
-    rates: Mapping[int, float],
+    rates: KeyRates,
 ) -> list[Move]:
     """Move keys from the busiest upstreams to those with the most room."""
-    found = list(ranges)
     if len(seats) < 2:
         return []
-    loads = _loads(found, seats, rates)
-    weights = {seat.ref: seat.weight for seat in seats}
-    mean = sum(loads.values()) / sum(weights.values())
-    moves: list[Move] = []
-    while len(moves) < MOVES_AT_ONCE:
-        ratios = {ref: loads[ref] / weights[ref] for ref in weights}
-        busiest = max(ratios, key=ratios.__getitem__)
+    return _Plan(list(ranges), seats, rates).make()
+
+
+class _Plan:
+    def __init__(
+        self,
+        ranges: Sequence[KeyRange],
+        seats: Sequence[Seat],
+        rates: KeyRates,
+    ) -> None:
+        self.rates = rates
+        self.weights = {seat.ref: seat.weight for seat in seats}
+        self.loads = _loads(ranges, self.weights, rates)
+        self.mean = sum(self.loads.values()) / sum(self.weights.values())
+        self.movable: dict[Incarnation, list[Span]] = {}
+        for keys in ranges:
+            if keys.owner in self.weights and keys.is_held and not keys.call:
+                span = Span(keys.first, keys.last)
+                self.movable.setdefault(keys.owner, []).append(span)
+        self.moves: list[Move] = []
+
+    def make(self) -> list[Move]:
+        exhausted: set[Incarnation] = set()
+        while len(self.moves) < MOVES_AT_ONCE:
+            busiest = self._busiest(exhausted)
+            if busiest is None:
+                break
+            if not self._relieve(busiest):
+                exhausted.add(busiest)
+        return self.moves
+
+    def _busiest(self, exhausted: set[Incarnation]) -> Incarnation | None:
+        ratios = {
+            ref: self.loads[ref] / weight
+            for ref, weight in self.weights.items()
+            if ref not in exhausted and self._is_busy(ref)
+        }
+        return max(ratios, key=ratios.__getitem__) if ratios else None
+
+    def _is_busy(self, ref: Incarnation) -> bool:
+        usual = self.mean * self.weights[ref]
+        by_chance = math.sqrt(usual * self.rates.variance)
+        limit = max(usual * OVERLOAD, usual + SIGNIFICANT * by_chance)
+        return self.loads[ref] > limit
+
+    def _relieve(self, busiest: Incarnation) -> bool:
+        """Move one part of an upstream's keys; tell whether it helps."""
+        ratios = {
+            ref: self.loads[ref] / self.weights[ref] for ref in self.loads
+        }
         idlest = min(ratios, key=ratios.__getitem__)
-        if ratios[busiest] < OVERLOAD * mean:
-            break
-        excess = (ratios[busiest] - mean) * weights[busiest]
-        room = (mean - ratios[idlest]) * weights[idlest]
-        part = _part_of(found, busiest, min(excess, room), rates, moves)
-        if part is None or part[2] < LEAST_GAIN * mean * weights[idlest]:
-            break
-        first, last, load = part
-        if load > excess + room:
-            break
-        moves.append(Move(first, last, idlest))
-        loads[busiest] -= load
-        loads[idlest] += load
-    return moves
-
-
-def _part_of(
-    ranges: Iterable[KeyRange],
-    owner: Incarnation,
-    wanted: float,
-    rates: Mapping[int, float],
-    moves: Sequence[Move],
-) -> tuple[int, int, float] | None:
-    """Find neighbouring keys of an owner with about a wanted load."""
-    taken = {move.first for move in moves}
-    best: tuple[int, int, float] | None = None
-    for keys in ranges:
-        is_free = keys.owner == owner and keys.is_held and not keys.call
-        if not is_free or any(
-            keys.first <= first <= keys.last for first in taken
-        ):
-            continue
-        part = _cut(keys, wanted, rates)
-        if best is None or abs(part[2] - wanted) < abs(best[2] - wanted):
-            best = part
-    return best
-
-
-def _cut(
-    keys: KeyRange,
-    wanted: float,
-    rates: Mapping[int, float],
-) -> tuple[int, int, float]:
-    """Cut keys with at most a wanted load from the end of a range."""
-    spread = _BASE_RATE
-    load = 0.0
-    first = keys.last + 1
-    while first > keys.first:
-        step = rates.get(first - 1, 0.0) + spread
-        if load and load + step > wanted:
-            break
-        load += step
-        first -= 1
-    return first, keys.last, load
-
-
-# Rate assumed of a key without recent requests, so that ranges without any
-# are divided by size.
-_BASE_RATE = 0.0005
-
-
-def _load(keys: KeyRange, rates: Mapping[int, float]) -> float:
-    busy = sum(
-        rate for key, rate in rates.items() if keys.first <= key <= keys.last
-    )
-    return busy + keys.size * _BASE_RATE
+        excess = self.loads[busiest] - self.mean * self.weights[busiest]
+        room = self.mean * self.weights[idlest] - self.loads[idlest]
+        part = self._part_of(busiest, min(excess, room))
+        if part is None:
+            return False
+        keys, first, rate = part
+        is_small = rate < LEAST_GAIN * self.mean * self.weights[idlest]
+        if is_small or rate > excess + room:
+            return False
+        self.movable[busiest].remove(keys)
+        if first > keys.first:
+            # What is left can be cut again, so that keys that are hot side by
+            # side go to several upstreams at once.
+            self.movable[busiest].append(Span(keys.first, first - 1))
+        self.moves.append(Move(first, keys.last, idlest))
+        self.loads[busiest] -= rate
+        self.loads[idlest] += rate
+        return True
+
+    def _part_of(
+        self,
+        owner: Incarnation,
+        wanted: float,
+    ) -> tuple[Span, int, float] | None:
+        """Find neighbouring keys of an owner with about a wanted rate."""
+        best: tuple[Span, int, float] | None = None
+        for keys in self.movable.get(owner, ()):
+            first, rate = self.rates.cut(keys, wanted)
+            if best is None or abs(rate - wanted) < abs(best[2] - wanted):
+                best = (keys, first, rate)
+        return best
 
 
 def _loads(
     ranges: Iterable[KeyRange],
-    seats: Iterable[Seat],
-    rates: Mapping[int, float],
+    refs: Iterable[Incarnation],
+    rates: KeyRates,
 ) -> dict[Incarnation, float]:
-    loads = {seat.ref: 0.0 for seat in seats}
+    loads = dict.fromkeys(refs, 0.0)
     for keys in ranges:
         if keys.owner in loads:
-            loads[keys.owner] += _load(keys, rates)
+            loads[keys.owner] += rates.between(keys.first, keys.last)
     return loads
--- a/src/oriolearch/core/directory.py
+++ b/src/oriolearch/core/directory.py
@@ -156,6 +156,7 @@
     """An upstream as it registered itself.
 
     :param cold_for_s: how much longer it is cold, at the time of the report.
+    :param report: number of the report; grows within one run.
     """
 
     ref: Incarnation
@@ -165,3 +166,4 @@
     slots: int
     is_draining: bool
     cold_for_s: float
+    report: int = 0
--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -131,6 +131,7 @@
         self.lanes: dict[Incarnation, Lane] = {}
         self.waiting: list[Waiter] = []
         self.cold_burst = cold_burst
+        self.work_s = START_WORK_S
 
     def set_upstreams(
         self,
@@ -196,7 +197,7 @@
         return settled
 
     def _ordered(self, now: float) -> list[Waiter]:
-        return sorted(self.waiting, key=lambda waiter: _order(now, waiter))
+        return sorted(self.waiting, key=lambda waiter: self._order(now, waiter))
 
     def answered(self, now: float, lane: Lane, took_s: float) -> None:
         """Take an answer of an upstream that had worked on a request."""
@@ -205,6 +206,7 @@
         excess = max(len(lane.running) - lane.entry.slots, 0)
         share_s = took_s / (1 + excess / lane.entry.slots)
         lane.work_s += (share_s - lane.work_s) * WORK_WEIGHT
+        self.work_s += (share_s - self.work_s) * WORK_WEIGHT
 
     def loaded(self, now: float, lane: Lane, reported: int) -> None:
         """Take the load that an upstream reports: running and waiting.
@@ -291,11 +293,11 @@
 
     def _is_queued_ahead(self, now: float, waiter: Waiter, lane: Lane) -> bool:
         """Tell whether a waiting request comes first at this upstream."""
-        order = _order(now, waiter)
+        order = self._order(now, waiter)
         return any(
             other.owner in {None, lane.entry.ref}
             and lane.entry.ref not in other.tried
-            and _order(now, other) <= order
+            and self._order(now, other) <= order
             for other in self.waiting
         )
 
@@ -307,11 +309,11 @@
         ]
         if not usable:
             return LOST_RETRY_S
-        order = _order(now, waiter)
+        order = self._order(now, waiter)
         ahead = sum(
             1
             for other in self.waiting
-            if other.owner == waiter.owner and _order(now, other) <= order
+            if other.owner == waiter.owner and self._order(now, other) <= order
         )
         rate = sum(self._rate(now, lane) for lane in usable)
         soonest_s = min(
@@ -337,14 +339,29 @@
             return max(work_s, LEAST_RETRY_S)
         return None
 
+    def _order(
+        self,
+        now: float,
+        waiter: Waiter,
+    ) -> tuple[bool, int, float]:
+        """Give the rank of a request; the least is served first.
+
+        A request that cannot make its aim even with the next place leaves it
+        to those that can. In plain order of aims, an overload would make all
+        of them late.
+        """
+        is_late = now + self._answer_s(waiter) > waiter.aim_at
+        urgent_at = waiter.useful_until if is_late else waiter.aim_at
+        return is_late, waiter.priority, urgent_at
+
+    def _answer_s(self, waiter: Waiter) -> float:
+        """Give the time from the place to the answer."""
+        lane = self.lanes.get(waiter.owner) if waiter.owner else None
+        work_s = lane.work_s if lane else self.work_s
+        return work_s * (1 + QUEUED_AT_UPSTREAM / 2)
+
     def _lanes_for(self, waiter: Waiter) -> list[Lane]:
         if waiter.owner is None:
             return list(self.lanes.values())
         lane = self.lanes.get(waiter.owner)
         return [lane] if lane else []
-
-
-def _order(now: float, waiter: Waiter) -> tuple[bool, int, float]:
-    is_late = now + START_WORK_S > waiter.aim_at
-    urgent_at = waiter.useful_until if is_late else waiter.aim_at
-    return is_late, waiter.priority, urgent_at
--- a/src/oriolearch/core/ownership.py
+++ b/src/oriolearch/core/ownership.py
@@ -8,7 +8,8 @@
 A change of owner is written to the store before any upstream hears of it, so
 that a successor finds every grant that can exist:
 
-1. ``Store``: the row names the new owner and the previous one;
+1. ``Store``: the row names the new owner and the previous one, which goes on
+   serving meanwhile, so that an outage of the store interrupts nothing;
 2. ``Release`` to the previous owner, which answers once its work has ended;
 3. ``Grant`` to the new owner, with the handover of the previous one.
 
@@ -30,6 +31,8 @@
 RETRY_S = 0.25  # a refused or unanswered call is repeated after this
 CALL_TIMEOUT_S = 0.5  # a grant that was not answered by then is given up
 CALLS_AT_ONCE = 2  # grants and releases under way at one upstream
+STORE_DOUBT_S = 0.4  # a write that takes longer may be seen by a successor
+SETTLE_S = 1.2  # a predecessor has stopped renewing what it moved by then
 PROBE_PERIOD_S = 0.25  # a silent upstream is asked this often
 LOST_AFTER_S = 0.8  # a silent upstream loses its keys after this
 MERGE_AFTER_S = 1.0  # a move is dropped from the row this long after its end
@@ -48,7 +51,9 @@
         be applied after a release.
     :ivar free_at: end of the latest grant that the previous owner may have.
     :ivar settled_at: earliest time at which a release frees the keys.
-    :ivar is_stored: the store is known to hold this owner.
+    :ivar planned: the owner that a move will bring, once it is stored.
+    :ivar planned_fence: the fence of its first grant.
+    :ivar revision: the first one whose row tells all this.
     :ivar is_held: the owner confirmed the grant.
     :ivar call: number of the call under way, 0 for none.
     """
@@ -66,7 +71,9 @@
     free_at: float = 0.0
     settled_at: float = 0.0
     due_at: float = 0.0
-    is_stored: bool = False
+    planned: Incarnation | None = None
+    planned_fence: int = 0
+    revision: int = 1
     is_held: bool = False
     call: int = 0
 
@@ -151,6 +158,8 @@
         self.revision = 1
         self.stored_revision = 0
         self.is_storing = False
+        self.is_doubtful = False
+        self.storing_since = 0.0
         self.store_after = 0.0
         self.changed: list[OwnedRange] = []
         for keys in self.ranges:
@@ -158,6 +167,10 @@
             keys.held_until = unknown_until
             keys.free_at = unknown_until
             keys.settled_at = now + hold_s * CLOCK_SHARE + CLOCK_MARGIN_S
+            if keys.previous is not None:
+                # The predecessor may renew the previous owner for a moment,
+                # and a release would not stop that.
+                keys.due_at = now + SETTLE_S
 
     def next_fence(self) -> int:
         """Give a fence above all earlier ones."""
@@ -182,7 +195,7 @@
         now: float,
         first: int,
         last: int,
-        owner: Incarnation | None,
+        owner: Incarnation,
     ) -> bool:
         """Give keys another owner; tell whether that was possible.
 
@@ -191,25 +204,14 @@
         """
         keys = self.find(first)
         is_moving = keys.previous is not None and not keys.is_held
-        if keys.owner == owner or is_moving or keys.call or last > keys.last:
+        if keys.planned is not None or is_moving or keys.call:
+            return False
+        if keys.owner == owner or last > keys.last:
             return False
         keys = self._cut_out(keys, first, last)
-        if keys.owner is not None:
-            keys.previous = keys.owner
-            keys.free_at = keys.held_until
-            keys.settled_at = keys.doubtful_until
-        keys.owner = owner
-        keys.fence = self.next_fence()
-        keys.handover = None
-        keys.held_until = 0.0
-        keys.sent_until = 0.0
-        keys.doubtful_until = 0.0
-        keys.is_held = False
-        keys.is_stored = False
-        keys.due_at = now
-        self.revision += 1
-        self.store_after = now
-        self.changed.append(OwnedRange(first, last, None))
+        keys.planned = owner
+        keys.planned_fence = self.next_fence()
+        self._change(now, keys)
         return True
 
     def find(self, key: int) -> KeyRange:
@@ -219,30 +221,49 @@
     def step(self, now: float) -> list[Effect]:
         """Give what is to be done now."""
         effects: list[Effect] = []
-        if self.stored_revision < self.revision and not self.is_storing:
-            if now >= self.store_after:
-                self.is_storing = True
-                effects.append(Store(self.revision, tuple(self.ranges)))
+        has_changed = self.stored_revision < self.revision
+        if has_changed and not self.is_storing and now >= self.store_after:
+            self.is_storing = True
+            self.storing_since = now
+            effects.append(Store(self.revision, tuple(self.ranges)))
         effects.extend(self._probes(now))
+        effects.extend(self._calls(now))
+        return effects
+
+    def _calls(self, now: float) -> Iterator[Effect]:
         for keys in self.ranges:
-            if keys.call or now < keys.due_at or not keys.is_stored:
+            if keys.call or not self._may_call(now, keys):
                 continue
             effect = self._next_call(now, keys)
             if effect is not None:
-                effects.append(effect)
-        return effects
+                yield effect
+
+    def _may_call(self, now: float, keys: KeyRange) -> bool:
+        if keys.revision <= self.stored_revision:
+            if keys.planned is not None:
+                self._begin_move(now, keys)
+            return now >= keys.due_at
+        # A move waits for the store; the owner is still renewed unless a
+        # successor may have read of the move.
+        if keys.planned is None or not keys.is_held or self.is_doubtful:
+            return False
+        if self.is_storing and now - self.storing_since > STORE_DOUBT_S:
+            return False
+        return now >= keys.due_at
 
     def stored(self, now: float, revision: int) -> None:
         """Take the success of a ``Store``."""
         self.is_storing = False
+        self.is_doubtful = False
         self.stored_revision = revision
-        if revision == self.revision:
-            for keys in self.ranges:
-                keys.is_stored = True
 
-    def store_failed(self, now: float) -> None:
-        """Take a ``Store`` without effect, or with an unknown one."""
+    def store_failed(self, now: float, *, is_doubtful: bool) -> None:
+        """Take the failure of a ``Store``.
+
+        :param is_doubtful: it may have taken effect, or may later.
+        """
         self.is_storing = False
+        self.is_doubtful = self.is_doubtful or is_doubtful
         self.store_after = now + RETRY_S
 
     def granted(self, now: float, call: int, sent_at: float) -> None:
@@ -269,10 +290,8 @@
         keys = self._end_call(call)
         if keys is not None:
             keys.fence = self.next_fence()
-            keys.is_stored = False
             keys.due_at = now
-            self.revision += 1
-            self.store_after = now
+            self._change(now, keys)
 
     def released(self, now: float, call: int, handover: str | None) -> None:
         """Take the answer to a release: no work runs on the keys."""
@@ -339,6 +358,28 @@
             for keys in self.ranges
         ]
 
+    def _change(self, now: float, keys: KeyRange) -> None:
+        """Have a range stored before anything is done with it."""
+        self.revision += 1
+        keys.revision = self.revision
+        self.store_after = now
+
+    def _begin_move(self, now: float, keys: KeyRange) -> None:
+        if keys.owner is not None:
+            keys.previous = keys.owner
+            keys.free_at = keys.held_until
+            keys.settled_at = keys.doubtful_until
+        keys.owner = keys.planned
+        keys.fence = keys.planned_fence
+        keys.planned = None
+        keys.handover = None
+        keys.held_until = 0.0
+        keys.sent_until = 0.0
+        keys.doubtful_until = 0.0
+        keys.is_held = False
+        keys.due_at = now
+        self.changed.append(OwnedRange(keys.first, keys.last, None))
+
     def _probes(self, now: float) -> Iterator[Probe]:
         for ref in list(self.silent_since):
             upstream = self.upstreams.get(ref)
@@ -442,7 +483,9 @@
                 free_at=keys.free_at,
                 settled_at=keys.settled_at,
                 due_at=keys.due_at,
-                is_stored=keys.is_stored,
+                planned=keys.planned,
+                planned_fence=keys.planned_fence,
+                revision=keys.revision,
                 is_held=keys.is_held,
             )
             for start, end in parts
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -172,6 +172,18 @@
         """Give the owners of the keys of a pool."""
         return self.owners.setdefault(pool, OwnerMap())
 
+    def works(self) -> dict[str, dict[str, float]]:
+        """Give the seconds that requests take at upstreams in our charge."""
+        return {
+            pool: {
+                lane.entry.ref.text(): round(lane.work_s, 4)
+                for lane in dispatcher.lanes.values()
+                if lane.heard_at
+            }
+            for pool, dispatcher in self.desk.dispatchers.items()
+            if dispatcher.plan.is_keyed
+        }
+
     def owners_changed(self, pool: str) -> None:
         """Look again at the requests that wait for or at an owner."""
         owners = self.owner_map(pool)
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import json
+import math
 import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
@@ -18,6 +19,7 @@
 from oriolearch.adapters.upstream_links import LinkError
 from oriolearch.core.balance import (
     COLD_SHARE,
+    KeyRates,
     Seat,
     plan_balance,
     plan_rescue,
@@ -32,6 +34,7 @@
     ConditionFailedError,
     GrantRefusedError,
     PlatformError,
+    PlatformRefusedError,
 )
 from oriolearch.core.keyranges import OwnedRange
 from oriolearch.core.ownership import (
@@ -63,13 +66,19 @@
 RENEW_S = 0.6  # two renewals may be lost before a grant ends
 TICK_S = 0.02  # a move takes two or three steps
 RESCUE_PERIOD_S = 0.1  # keys of a lost upstream are given away this soon
-BALANCE_PERIOD_S = 0.5  # time for a move to show in the reports
+BALANCE_PERIOD_S = 0.4  # time for a move to show in the reports
 RATE_HALF_LIFE_S = 1.5  # of the counts of a key
-LEAST_RATE = 0.2  # counts below this are forgotten
+LEAST_RATE = 0.02  # counts below this are forgotten
 BEAT_PERIOD_S = 0.25  # hosts hear from the coordinator this often
 STUCK_AFTER_S = 2.0  # a coordinator whose writes fail lets others take over
 
 
+LEAST_WEIGHT = 0.25  # of an upstream, against the mean
+MOST_WEIGHT = 2.5
+
+_LN_2 = math.log(2)
+
+
 def lease_clock() -> float:
     """Give seconds of a clock that also counts suspended time."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -132,9 +141,7 @@
         [
             keys.first,
             keys.last,
-            keys.owner.text() if keys.owner else None,
-            keys.fence,
-            keys.previous.text() if keys.previous else None,
+            *_row_of(keys),
         ]
         for keys in ranges
     ]
@@ -142,6 +149,18 @@
     return json.dumps(body, separators=(',', ':')).encode()
 
 
+def _row_of(keys: KeyRange) -> tuple[str | None, int, str | None]:
+    """Give owner, fence and previous owner as a successor must see them."""
+    owner = keys.planned or keys.owner
+    fence = keys.planned_fence if keys.planned else keys.fence
+    previous = keys.owner if keys.planned else keys.previous
+    return (
+        owner.text() if owner else None,
+        fence,
+        previous.text() if previous else None,
+    )
+
+
 def decode_ranges(value: bytes) -> list[KeyRange]:
     """Read the value of a pool's row.
 
@@ -201,6 +220,7 @@
         self.sent_hosts: list[str] = []
         self.local_hosts: Callable[[list[str]], None] = _drop_hosts
         self.rates: dict[str, dict[int, float]] = {}
+        self.works: dict[str, dict[str, float]] = {}
         self.local_changes: Callable[[str, list[OwnedRange], bool], None] = (
             _drop_changes
         )
@@ -275,10 +295,18 @@
     def count_keys(self, pool: str, counts: dict[int, int]) -> None:
         """Take how often keys were asked for since the last report."""
         rates = self.rates.setdefault(pool, {})
-        gain = 0.7 / RATE_HALF_LIFE_S  # ln 2: a steady rate is kept
+        gain = _LN_2 / RATE_HALF_LIFE_S  # a steady rate is its own estimate
         for key, count in counts.items():
             rates[key] = rates.get(key, 0.0) + count * gain
 
+    def take_works(self, pool: str, works: dict[str, float]) -> None:
+        """Take the seconds that requests take at upstreams."""
+        known = self.works.setdefault(pool, {})
+        known.update(works)
+        usable = {ref.text() for ref in self.registry.usable(pool)}
+        for name in set(known) - usable:
+            del known[name]
+
     async def _read_pools(self) -> None:
         while not self.has_read and not self.is_over:
             try:
@@ -353,25 +381,37 @@
     def _rescue(self, now: float) -> None:
         for pool, ownership in self.pools.items():
             seats = self._seats(pool, ownership)
-            moves = plan_rescue(
-                ownership.ranges,
-                seats,
-                self.rates.get(pool, {}),
-            )
-            for move in moves:
-                self._move(now, pool, ownership, move, 'owner not usable')
+            if any(keys.owner is None for keys in ownership.ranges) or (
+                {keys.owner for keys in ownership.ranges}
+                - {seat.ref for seat in seats}
+            ):
+                self._rescue_pool(now, pool, ownership, seats)
+
+    def _rescue_pool(
+        self,
+        now: float,
+        pool: str,
+        ownership: KeyOwnership,
+        seats: list[Seat],
+    ) -> None:
+        rates = KeyRates(self.rates.get(pool, {}))
+        for move in plan_rescue(ownership.ranges, seats, rates):
+            self._move(now, pool, ownership, move, 'owner not usable')
 
     def _balance(self, now: float) -> None:
         factor = 0.5 ** (BALANCE_PERIOD_S / RATE_HALF_LIFE_S)
         for pool, ownership in self.pools.items():
+            if self.failing_since is not None:
+                continue
             rates = self.rates.get(pool, {})
             for key in list(rates):
                 rates[key] *= factor
                 if rates[key] < LEAST_RATE:
                     del rates[key]
             seats = self._seats(pool, ownership)
-            moves = plan_balance(ownership.ranges, seats, rates)
-            for move in moves:
+            variance = _LN_2 / RATE_HALF_LIFE_S / 2
+            found = KeyRates(rates, variance)
+            for move in plan_balance(ownership.ranges, seats, found):
                 self._move(now, pool, ownership, move, 'balance')
 
     def _move(
@@ -397,11 +437,24 @@
         now = asyncio.get_running_loop().time()
         lease_now = lease_clock()
         usable: dict[Incarnation, UpstreamEntry] = self.registry.usable(pool)
-        return [
-            Seat(ref, COLD_SHARE if self.registry.is_cold(now, ref) else 1.0)
-            for ref in sorted(usable)
-            if not ownership.is_lost(lease_now, ref)
-        ]
+        seats = []
+        for ref in sorted(usable):
+            if ownership.is_lost(lease_now, ref):
+                continue
+            weight = self._weight(pool, ref)
+            if self.registry.is_cold(now, ref):
+                weight *= COLD_SHARE
+            seats.append(Seat(ref, weight))
+        return seats
+
+    def _weight(self, pool: str, ref: Incarnation) -> float:
+        """Give the work that an upstream can do, against the mean."""
+        works = self.works.get(pool, {})
+        work_s = works.get(ref.text())
+        if not work_s:
+            return 1.0
+        mean_s = sum(works.values()) / len(works)
+        return min(max(mean_s / work_s, LEAST_WEIGHT), MOST_WEIGHT)
 
     def _carry_out(
         self,
@@ -450,7 +503,8 @@
         now = lease_clock()
         if self.failing_since is None:
             self.failing_since = now
-        ownership.store_failed(now)
+        is_refused = isinstance(error, PlatformRefusedError)
+        ownership.store_failed(now, is_doubtful=not is_refused)
         self.log.emit(Event.STORE_LOST, table=OWNER_TABLE, error=str(error))
         if isinstance(error, ConditionFailedError):
             versions = {
--- a/src/oriolearch/placing.py
+++ b/src/oriolearch/placing.py
@@ -405,6 +405,11 @@
         waiter.may_use_cold = False
         return await self._acquire_here(pool, waiter, outcome)
 
+    def close(self) -> None:
+        """End all connections."""
+        for client in self.clients.values():
+            client.close()
+
     def check(self) -> None:
         """Give up connections that are silent though they are asked."""
         now = _now()
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -82,7 +82,14 @@
         stopped = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, stopped.set)
         loop.add_signal_handler(signal.SIGINT, stopped.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        await self.start()
+        await stopped.wait()
+        await self.stop()
+
+    async def start(self) -> None:
+        """Accept callers and other hosts, and start all tasks."""
+        loop = asyncio.get_running_loop()
         settings = self.settings
         self.log.emit(
             Event.HOST_STARTED,
@@ -114,8 +121,6 @@
             self._tick(),
         ):
             self.coordination.spawn(work)
-        await stopped.wait()
-        await self._stop()
 
     async def _answer_readiness(self, request: IncomingRequest) -> Reply:
         is_ready = request.target == READY_PATH and self._is_ready()
@@ -161,7 +166,8 @@
             max(bounds.cold_slack * COLD_SAFETY, 1.0),
         )
 
-    def _reload(self) -> None:
+    def reload(self) -> None:
+        """Read the settings file again."""
         try:
             self.settings = load_settings()
         except ValidationError as error:
@@ -174,7 +180,7 @@
             cold_burst=self.forwarder.cold_burst,
         )
 
-    async def _stop(self) -> None:
+    async def stop(self) -> None:
         """Leave the rotation, answer what was read, and end."""
         loop = asyncio.get_running_loop()
         began_at = loop.time()
--- a/src/oriolearch/platform/documents.py
+++ b/src/oriolearch/platform/documents.py
@@ -54,6 +54,13 @@
             raise ValidationError(self.source, name, found, 'must be finite')
         return float(found)
 
+    def whole(self, name: str) -> int:
+        found = self.found.get(name, 0)
+        if isinstance(found, bool) or not isinstance(found, int):
+            reason = 'must be a whole number'
+            raise ValidationError(self.source, name, found, reason)
+        return found
+
     def parts(self, name: str) -> Iterator['_Fields']:
         found = self.found.get(name)
         if not isinstance(found, list):
@@ -101,13 +108,14 @@
     if slots < 1:
         raise ValidationError(name, 'slots', slots, 'must be positive')
     return UpstreamEntry(
-        Incarnation(name, int(fields.number('born', 0))),
+        Incarnation(name, fields.whole('born')),
         info.text('service'),
         address,
         info.text('zone'),
         int(slots),
         state == 'draining',
         max(status.number('warmup_left_s', 0), 0),
+        status.whole('seq'),
     )
 
 
--- a/src/oriolearch/platform/watching.py
+++ b/src/oriolearch/platform/watching.py
@@ -176,7 +176,17 @@
             self._reject(row, error)
             return
         self.upstream_names.add(row.key)
-        self.registry.put(now, entry)
+        if not self.registry.put(now, entry):
+            self._reject(
+                row,
+                ValidationError(
+                    row.key,
+                    'born',
+                    entry.ref.started,
+                    'is older than what is known',
+                ),
+            )
+            return
         self.log.emit(
             Event.UPSTREAM_CHANGED,
             upstream=entry.ref.text(),
--- a/src/oriolearch/registry.py
+++ b/src/oriolearch/registry.py
@@ -63,9 +63,15 @@
                 self._set_cold(now, entry, self._cold_start_s(entry))
         self._notify()
 
-    def put(self, now: float, entry: UpstreamEntry) -> None:
-        """Take an entry of an upstream."""
+    def put(self, now: float, entry: UpstreamEntry) -> bool:
+        """Take an entry of an upstream unless it is older than the known.
+
+        A delayed write of an upstream, or one of another writer, may name an
+        earlier run or no run at all.
+        """
         known = self.entries.get(entry.ref.name)
+        if known is not None and _age(entry) < _age(known):
+            return False
         if known is not None and known.ref != entry.ref:
             self._retire(now, known)
             self.ended.add(known.ref)
@@ -74,6 +80,7 @@
         if entry.cold_for_s > 0:
             self._set_cold(now, entry, entry.cold_for_s)
         self._notify()
+        return True
 
     def remove(self, now: float, name: str) -> None:
         """Take the removal of an entry."""
@@ -162,3 +169,7 @@
     def _notify(self) -> None:
         for listener in self.listeners:
             listener()
+
+
+def _age(entry: UpstreamEntry) -> tuple[int, int]:
+    return entry.ref.started, entry.report
--- /dev/null
+++ b/tests/platform_standin.py
@@ -0,0 +1,269 @@
+"""Stand-ins for the users' platform: its store and one keyed server."""
+
+import asyncio
+import base64
+import json
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+Headers = dict[str, str]
+Answer = tuple[int, Headers, bytes]
+Handler = Callable[[str, str, Headers, bytes], Awaitable[Answer]]
+
+
+class Server:
+    """An HTTP server that hands each request to a handler."""
+
+    def __init__(self) -> None:
+        self.server: asyncio.Server | None = None
+        self.address = ''
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, handler: Handler) -> None:
+        self.handler = handler
+        self.server = await asyncio.start_server(self.accept, '127.0.0.1', 0)
+        host, port = self.server.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+
+    def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.writers.add(writer)
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                await self.serve(reader, writer)
+        writer.close()
+
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        head = (await reader.readuntil(b'\r\n\r\n')).decode()
+        first, *lines = head.strip().split('\r\n')
+        method, target, _ = first.split(' ')
+        pairs = [line.split(':', 1) for line in lines]
+        headers = {name.lower(): text.strip() for name, text in pairs}
+        length = int(headers.get('content-length', 0))
+        body = await reader.readexactly(length)
+        status, extra, content = await self.handler(
+            method,
+            target,
+            headers,
+            body,
+        )
+        extra = {**extra, 'Content-Length': str(len(content))}
+        rendered = ''.join(f'{key}: {text}\r\n' for key, text in extra.items())
+        answer = f'HTTP/1.1 {status} X\r\n{rendered}\r\n'.encode()
+        writer.write(answer + content)
+        await writer.drain()
+
+
+class Store(Server):
+    """The platform's store, with a switch for outages.
+
+    :ivar is_down: every call is answered 503.
+    :ivar lost_writes: so many writes are done and not answered.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.rows: dict[tuple[str, str], tuple[bytes | None, int]] = {}
+        self.version = 1
+        self.oldest = 0
+        self.is_down = False
+        self.lost_writes = 0
+        self.changed = asyncio.Event()
+        self.calls: list[str] = []
+
+    async def listen(self) -> None:
+        await self.start(self.handle)
+
+    def put(self, table: str, key: str, value: object) -> None:
+        encoded = value if isinstance(value, bytes) else _dump(value)
+        self.write({(table, key): encoded})
+
+    def remove(self, table: str, key: str) -> None:
+        self.write({(table, key): None})
+
+    def write(self, values: dict[tuple[str, str], bytes | None]) -> None:
+        self.version += 1
+        for name, value in values.items():
+            self.rows[name] = (value, self.version)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def handle(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+    ) -> Answer:
+        parts = urlsplit(target)
+        self.calls.append(parts.path)
+        if self.is_down:
+            return 503, {}, b''
+        query = {key: found[0] for key, found in parse_qs(parts.query).items()}
+        if parts.path == '/rows-get':
+            return self.read(query)
+        if parts.path == '/rows-feed':
+            return await self.feed(query)
+        return await self.commit(json.loads(body))
+
+    def read(self, query: dict[str, str]) -> Answer:
+        limit = int(query.get('limit', 500))
+        rows = [
+            self.render(table, key)
+            for table, key in sorted(self.rows)
+            if table == query['table']
+            and key >= query.get('from', '')
+            and self.rows[table, key][0] is not None
+        ]
+        return self.reply(rows=rows[:limit], more_pages=len(rows) > limit)
+
+    async def feed(self, query: dict[str, str]) -> Answer:
+        after = int(query['after'])
+        if after < self.oldest:
+            return 410, {}, b''
+        with suppress(TimeoutError):
+            async with asyncio.timeout(int(query['wait_ms']) / 1000):
+                while not self.newer(query['table'], after):
+                    await self.changed.wait()
+        if self.is_down:
+            return 503, {}, b''
+        return self.reply(rows=self.newer(query['table'], after))
+
+    async def commit(self, call: dict[str, Any]) -> Answer:
+        for condition in call['expected_revision']:
+            name = (condition['table'], condition['key'])
+            if self.rows.get(name, (None, 0))[1] != condition['ver']:
+                rows = [self.render(*name)]
+                return 412, {}, _dump({'rows': rows, 'ver': self.version})
+        self.write(
+            {
+                (row['table'], row['key']): base64.b64decode(row['value'])
+                for row in call['writes']
+            },
+        )
+        if self.lost_writes:
+            self.lost_writes -= 1
+            raise ConnectionError
+        return self.reply()
+
+    def newer(self, table: str, after: int) -> list[dict[str, Any]]:
+        found = sorted(
+            (version, key)
+            for (other, key), (_, version) in self.rows.items()
+            if other == table and version > after
+        )
+        return [self.render(table, key) for _, key in found]
+
+    def render(self, table: str, key: str) -> dict[str, Any]:
+        value, version = self.rows.get((table, key), (None, 0))
+        row = {'table': table, 'part': '', 'key': key, 'ver': version}
+        if value is None:
+            return {**row, 'removed': True}
+        return {**row, 'value': base64.b64encode(value).decode()}
+
+    def reply(self, **fields: object) -> Answer:
+        body = {**fields, 'ver': self.version, 'now_s': 1.0}
+        return 200, {}, _dump(body)
+
+
+class KeyedServer(Server):
+    """A server that runs requests for keys that it was granted.
+
+    :ivar ran: ids of the requests that it ran.
+    """
+
+    def __init__(self, name: str, zone: str = 'z1') -> None:
+        super().__init__()
+        self.name = name
+        self.zone = zone
+        self.grants: dict[int, tuple[int, int, float]] = {}
+        self.fences: list[tuple[int, int, int]] = []
+        self.ran: list[str] = []
+        self.loop = asyncio.get_running_loop()
+
+    async def listen(self) -> None:
+        await self.start(self.handle)
+
+    def entry(self, state: str = 'ready', **status: object) -> dict[str, Any]:
+        return {
+            'address': self.address,
+            'born': 1000,
+            'info': {
+                'service': 'orders',
+                'version': 'v1',
+                'zone': self.zone,
+                'slots': 2,
+            },
+            'status': {'state': state, 'seq': 1, 'warmup_left_s': 0, **status},
+        }
+
+    def holds(self, key: int) -> bool:
+        now = self.loop.time()
+        return any(
+            first <= key <= last and until > now
+            for first, (last, _, until) in self.grants.items()
+        )
+
+    async def handle(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+    ) -> Answer:
+        if headers.get('target-instance', self.name) != self.name:
+            return 421, {'Instance-Id': self.name, 'Not-Executed': '1'}, b''
+        if target == '/grant':
+            return self.grant(json.loads(body))
+        if target == '/release':
+            return self.release(json.loads(body))
+        return self.run(headers, body)
+
+    def grant(self, call: dict[str, Any]) -> Answer:
+        first, last, fence = call['from'], call['target'], call['fence']
+        for start, end, seen in self.fences:
+            if start <= last and end >= first and seen > fence:
+                return 409, {}, b''
+        self.fences.append((first, last, fence))
+        until = self.loop.time() + call['hold_s']
+        self.grants[first] = (last, fence, until)
+        return 200, {}, b''
+
+    def release(self, call: dict[str, Any]) -> Answer:
+        first, last = call['from'], call['target']
+        kept: dict[int, tuple[int, int, float]] = {}
+        for start, (end, fence, until) in self.grants.items():
+            if start < first:
+                kept[start] = (min(end, first - 1), fence, until)
+            if end > last:
+                kept[max(start, last + 1)] = (end, fence, until)
+        self.grants = kept
+        return 200, {'Handover': f'from-{self.name}'}, b''
+
+    def run(self, headers: Headers, body: bytes) -> Answer:
+        number = headers['attempt-id']
+        echoed = {'Attempt-Id': number}
+        if not self.holds(int(headers['shard-key'])):
+            return 421, {**echoed, 'Not-Executed': '1'}, b''
+        self.ran.append(number)
+        signed = {**echoed, 'Server-Signature': f's-{self.name}-{number}'}
+        return 200, signed, b'ran:' + body
+
+
+def _dump(value: object) -> bytes:
+    return json.dumps(value).encode()
--- /dev/null
+++ b/tests/test_platform_host.py
@@ -0,0 +1,403 @@
+"""Hosts on the platform, as tasks of one loop, against stand-ins.
+
+The stand-ins speak the platform's protocol on loopback; no bench is needed.
+"""
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from oriolearch.adapters.upstream_links import Answer, LinkPool
+from oriolearch.core.errors import ValidationError
+from oriolearch.platform.daemon import HostDaemon
+from oriolearch.platform.settings import load_settings, read_settings
+from tests.platform_standin import KeyedServer, Store
+
+KEYS = tuple(range(0, 65536, 4099))
+CONFIG: dict[str, Any] = {
+    'version': 'r7',
+    'limits': {
+        'max_header_bytes': 16384,
+        'max_body_bytes': 100000,
+        'header_timeout_s': 3,
+        'idle_timeout_s': 15,
+    },
+    'listeners': [
+        {
+            'host': 'shop.example',
+            'rules': [
+                {
+                    'name': 'order',
+                    'kind': 'unsafe',
+                    'target_latency_s': 0.4,
+                    'priority': 1,
+                    'match': {'prefix': '/order/'},
+                    'action': {
+                        'service': 'orders',
+                        'timeout_s': 1.2,
+                        'max_attempts': 2,
+                    },
+                },
+            ],
+        },
+    ],
+    'clusters': [
+        {
+            'name': 'orders',
+            'health_path': '/health',
+            'max_conns': 100,
+            'warmup_s': 3.0,
+            'warmup_per_s': 5,
+            'sharded': True,
+            'warm_s': 2.0,
+        },
+    ],
+}
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return int(probe.getsockname()[1])
+
+
+def settings(store: str, host: str = 'h1', zone: str = 'z1') -> dict[str, Any]:
+    return {
+        'node': host,
+        'ip': '127.0.0.1',
+        'zone': zone,
+        'zones': {'z1': 'r', 'z2': 'r'},
+        'port_range': [free_port(), 1],
+        'listen': {
+            'front': f'127.0.0.1:{free_port()}',
+            'ready': f'127.0.0.1:{free_port()}',
+        },
+        'platform': {'address': store},
+        'bounds': {'retry_ratio': 0.2, 'grace_s': 6},
+    }
+
+
+class Installation:
+    """A store, keyed servers and hosts."""
+
+    def __init__(self) -> None:
+        self.store = Store()
+        self.servers: list[KeyedServer] = []
+        self.hosts: list[HostDaemon] = []
+        self.count = 0
+
+    async def open(self, servers: int = 2, hosts: int = 1) -> None:
+        await self.store.listen()
+        self.store.put('op', 'config', CONFIG)
+        for number in range(servers):
+            await self.add_server(f'i-{number}')
+        for number in range(hosts):
+            await self.add_host(f'h{number}')
+
+    async def add_server(self, name: str) -> KeyedServer:
+        server = KeyedServer(name)
+        await server.listen()
+        self.servers.append(server)
+        self.store.put('servers', name, server.entry())
+        return server
+
+    async def add_host(self, name: str) -> HostDaemon:
+        found = read_settings('test', settings(self.store.address, name))
+        host = HostDaemon(found)
+        await host.start()
+        self.hosts.append(host)
+        return host
+
+    def kill(self, host: HostDaemon) -> None:
+        """End a host as SIGKILL does: nothing is handed over."""
+        self.hosts.remove(host)
+        host.gate.stop()
+        for server in host.servers:
+            server.close()
+        host.coordination.close()
+
+    def close(self) -> None:
+        for host in list(self.hosts):
+            self.kill(host)
+        for server in (*self.servers, self.store):
+            server.stop()
+
+    async def order(self, key: int, host: int = 0) -> Answer:
+        self.count += 1
+        number = f'{self.count:016x}'
+        request = (
+            'POST /order/x HTTP/1.1\r\nHost: shop.example\r\n'
+            f'Attempt-Id: {number}\r\nTimeout-Ms: 1000\r\n'
+            f'Shard-Key: {key}\r\nContent-Length: 2\r\n\r\nhi'
+        )
+        front = LinkPool(self.hosts[host].settings.entry)
+        return await front.exchange(request.encode(), 3.0, is_fresh=True)
+
+    async def orders(self, host: int = 0) -> list[int]:
+        answers = [await self.order(key, host) for key in KEYS]
+        return [answer.status for answer in answers]
+
+    async def serves_all(self, host: int = 0) -> None:
+        async with asyncio.timeout(12):
+            while set(await self.orders(host)) != {200}:
+                await asyncio.sleep(0.1)
+
+
+def play(
+    scene: Callable[[Installation], Awaitable[None]],
+    servers: int = 2,
+    hosts: int = 1,
+) -> None:
+    async def run() -> None:
+        installation = Installation()
+        try:
+            await installation.open(servers, hosts)
+            await installation.serves_all()
+            await scene(installation)
+        finally:
+            installation.close()
+        for server in installation.servers:
+            assert len(server.ran) == len(set(server.ran))
+
+    asyncio.run(run())
+
+
+def test_request_reaches_the_owner_of_its_key() -> None:
+    """A request that runs at no server, at two, or with another body."""
+
+    async def scene(installation: Installation) -> None:
+        answer = await installation.order(7)
+        assert answer.body == b'ran:hi'
+        assert answer.header(b'server-signature')
+        ran = [set(server.ran) for server in installation.servers]
+        assert not ran[0] & ran[1]
+        assert all(ran)
+
+    play(scene)
+
+
+def test_route_that_does_not_exist() -> None:
+    """A request without route that is served, or a refusal as not run."""
+
+    async def scene(installation: Installation) -> None:
+        request = (
+            b'GET /other/x HTTP/1.1\r\nHost: shop.example\r\n'
+            b'Attempt-Id: 1\r\nTimeout-Ms: 1000\r\n\r\n'
+        )
+        front = LinkPool(installation.hosts[0].settings.entry)
+        answer = await front.exchange(request, 2.0)
+        assert answer.status == 404
+
+    play(scene)
+
+
+def test_coordinator_that_is_killed_is_replaced() -> None:
+    """Keys that nobody renews after the coordinator's end."""
+
+    async def scene(installation: Installation) -> None:
+        leader = next(
+            host
+            for host in installation.hosts
+            if host.coordination.leadership is not None
+        )
+        installation.kill(leader)
+        await asyncio.sleep(3.0)
+        await installation.serves_all()
+        assert any(
+            host.coordination.leadership is not None
+            for host in installation.hosts
+        )
+
+    play(scene, hosts=3)
+
+
+def test_all_hosts_are_killed() -> None:
+    """An assignment that is lost with the hosts."""
+
+    async def scene(installation: Installation) -> None:
+        owners = {
+            key: next(s.name for s in installation.servers if s.holds(key))
+            for key in KEYS
+        }
+        for host in list(installation.hosts):
+            installation.kill(host)
+        await installation.add_host('h9')
+        await installation.serves_all()
+        for key, name in owners.items():
+            holder = next(s.name for s in installation.servers if s.holds(key))
+            assert holder == name
+
+    play(scene, hosts=2)
+
+
+def test_draining_server_gives_its_keys_away() -> None:
+    """Requests that reach a server which is about to leave."""
+
+    async def scene(installation: Installation) -> None:
+        leaving = installation.servers[0]
+        entry = leaving.entry('draining', seq=2)
+        installation.store.put('servers', leaving.name, entry)
+        await asyncio.sleep(1.0)
+        leaving.ran.clear()
+        await installation.serves_all()
+        assert leaving.ran == []
+
+    play(scene)
+
+
+def test_dead_server_loses_its_keys() -> None:
+    """Keys of a server that ended and whose entry is gone."""
+
+    async def scene(installation: Installation) -> None:
+        dead = installation.servers[0]
+        dead.stop()
+        await asyncio.sleep(0.3)
+        installation.store.remove('servers', dead.name)
+        await installation.serves_all()
+
+    play(scene)
+
+
+def test_outage_of_the_store() -> None:
+    """Keys that lapse because the store cannot be asked."""
+
+    async def scene(installation: Installation) -> None:
+        installation.store.is_down = True
+        for _ in range(8):
+            await asyncio.sleep(0.5)
+            assert set(await installation.orders()) == {200}
+        installation.store.is_down = False
+
+    play(scene)
+
+
+def test_lost_answers_of_the_store() -> None:
+    """A move whose write was done although its answer was lost."""
+
+    async def scene(installation: Installation) -> None:
+        installation.store.lost_writes = 2
+        leaving = installation.servers[0]
+        entry = leaving.entry('draining', seq=2)
+        installation.store.put('servers', leaving.name, entry)
+        await asyncio.sleep(2.0)
+        leaving.ran.clear()
+        await installation.serves_all()
+        assert leaving.ran == []
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    'row',
+    [
+        b'\xff\xfe not json',
+        b'[]',
+        b'{"address": 5}',
+        b'{"address": "x:1", "born": 1.5, "info": {}, "status": {}}',
+        b'[' * 3000,
+    ],
+)
+def test_unreadable_row_harms_no_other(row: bytes) -> None:
+    """A row of another writer that stops the reading of the others."""
+
+    async def scene(installation: Installation) -> None:
+        installation.store.put('servers', 'i-bad', row)
+        await installation.add_server('i-new')
+        await asyncio.sleep(0.3)
+        host = installation.hosts[0]
+        assert 'i-new' in host.registry.entries
+        assert 'i-bad' not in host.registry.entries
+        await installation.serves_all()
+
+    play(scene)
+
+
+def test_entry_of_an_earlier_run_is_ignored() -> None:
+    """A delayed write that makes a running server look ended.
+
+    Its keys would be given away at once, while it holds them.
+    """
+
+    async def scene(installation: Installation) -> None:
+        server = installation.servers[0]
+        old = {**server.entry(), 'born': 999}
+        installation.store.put('servers', server.name, old)
+        await asyncio.sleep(0.3)
+        registry = installation.hosts[0].registry
+        assert registry.entries[server.name].ref.started == 1000
+        assert not registry.ended
+
+    play(scene)
+
+
+def test_stop_answers_every_request() -> None:
+    """A planned stop that cuts requests."""
+
+    async def scene(installation: Installation) -> None:
+        stopping = asyncio.create_task(installation.hosts[0].stop())
+        statuses: list[int] = []
+        for _ in range(15):
+            statuses.append((await installation.order(7)).status)
+            await asyncio.sleep(0.1)
+        assert set(statuses) == {200}
+        assert (await ready(installation)) == 503
+        await stopping
+
+    play(scene, hosts=2)
+
+
+async def ready(installation: Installation) -> int:
+    address = installation.hosts[0].settings.readiness
+    request = b'GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n'
+    answer = await LinkPool(address).exchange(request, 1.0)
+    return answer.status
+
+
+def test_ready_only_with_a_configuration() -> None:
+    """Callers that come before the routes are known get a 404."""
+
+    async def run() -> None:
+        installation = Installation()
+        await installation.store.listen()
+        try:
+            await installation.add_host('h1')
+            await asyncio.sleep(0.3)
+            assert await ready(installation) == 503
+            assert (await installation.order(7)).status == 503
+            installation.store.put('op', 'config', CONFIG)
+            await asyncio.sleep(0.3)
+            assert await ready(installation) == 200
+        finally:
+            installation.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ('path', 'value'),
+    [
+        ('node', 5),
+        ('listen', {'front': 'x'}),
+        ('port_range', []),
+        ('platform', {}),
+        ('zones', 'z'),
+        ('bounds', {'drain_s': 'soon'}),
+    ],
+)
+def test_settings_name_the_field_at_fault(path: str, value: object) -> None:
+    """A start with settings that fail later, or an error without a name."""
+    fields = {**settings('127.0.0.1:1'), path: value}
+    with pytest.raises(ValidationError) as caught:
+        read_settings('node.toml', fields)
+    assert caught.value.field.startswith(path)
+
+
+def test_settings_file_that_does_not_exist(tmp_path: Path) -> None:
+    """A traceback in place of the name of the file."""
+    missing = str(tmp_path / 'none.toml')
+    with pytest.raises(ValidationError, match='none.toml'):
+        load_settings(missing)
