Follow the store's tables on three hosts only

Cause: each host followed three tables, so that one change cost a call a host.

Ruled out: longer polls (a change ends all of them) and one table for all (servers and operators write theirs).

Change: relaying.py. The coordinator and two hosts of other zones follow the tables and pass changes on; a host that does not hear the coordinator follows them itself from where it is. A coordinator announces its term to all hosts.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -32,7 +32,12 @@
 )
 from oriolearch.placing import DeskServer
 from oriolearch.ports import SharedStore, StoredRow, TableState
-from oriolearch.registry import Registry
+from oriolearch.relaying import (
+    Forward,
+    Relay,
+    encode_rows,
+    forward_nowhere,
+)
 
 CONSULTED = 8  # other hosts that are asked before a takeover
 SILENCE_S = 1.0  # without a beat for so long, the coordinator counts as lost
@@ -60,6 +65,7 @@
     host: str
     address: str
     nonce: str
+    zone: str
 
 
 class Coordination:
@@ -75,8 +81,8 @@
         identity: HostIdentity,
         store: SharedStore,
         grants: GrantPort,
-        registry: Registry,
         forwarder: Forwarder,
+        relay: Relay,
         log: EventLog,
         rng: random.Random,
     ) -> None:
@@ -85,8 +91,10 @@
         self.nonce = identity.nonce
         self.store = store
         self.grants = grants
-        self.registry = registry
         self.forwarder = forwarder
+        self.registry = forwarder.registry
+        self.relay = relay
+        self.zone = identity.zone
         self.log = log
         self.rng = rng
         self.row: LeaderRow | None = None
@@ -154,6 +162,7 @@
         """Keep the row that names the coordinator up to date."""
         after: int | None = None
         while True:
+            await self.relay.starved.wait()
             try:
                 after = await self._follow_once(after)
             except HistoryLostError:
@@ -208,9 +217,9 @@
 
     async def _find_coordinator(self, row: LeaderRow | None) -> None:
         if row is None or row.address is None:
-            await self._try_takeover('no coordinator')
+            await self.try_takeover('no coordinator')
         elif row.address == self.address and row.nonce != self.nonce:
-            await self._try_takeover('an earlier run of this host led')
+            await self.try_takeover('an earlier run of this host led')
         else:
             await self._hear_until_lost(row)
 
@@ -241,7 +250,7 @@
             await self._read_owners()
             return
         if row is self.row:
-            await self._try_takeover(reason)
+            await self.try_takeover(reason)
 
     async def _consult(self, peer: str, term: int) -> bool | None:
         """Ask another host whether it hears the coordinator."""
@@ -270,14 +279,23 @@
             return error.reason
         reporter = self.spawn(self._report(link))
         try:
-            link.send({'kind': 'hello', 'address': self.address})
+            link.send(
+                {
+                    'kind': 'hello',
+                    'address': self.address,
+                    'zone': self.zone,
+                    'versions': self.relay.versions(),
+                },
+            )
             while row is self.row or self.row is None:
-                self._take_message(row, await link.receive(SILENCE_S))
+                message = await link.receive(SILENCE_S)
+                self._take_message(row, message)
+                self._feed(link, message)
         except (PeerError, ValueError) as error:
             return str(error)
         finally:
             reporter.cancel()
-            link.close()
+            self._unlink(link)
         return 'another coordinator'
 
     def _take_message(self, row: LeaderRow, message: Message) -> None:
@@ -297,13 +315,33 @@
         elif kind == 'owners':
             pool = str(message.get('pool'))
             self.take_owners(pool, read_owners(message), message['whole'])
+        elif kind == 'rows':
+            self.relay.told(message)
+
+    def _unlink(self, link: HostLink) -> None:
+        link.close()
+        self.relay.set_fed(False)
+        if self.leadership is None:
+            self.relay.forward = forward_nowhere
+
+    def _feed(self, link: HostLink, message: Message) -> None:
+        """Follow the tables for others, or leave that to others."""
+        watchers = message.get('watchers')
+        if not isinstance(watchers, list):
+            return
+        if self.address not in watchers:
+            self.relay.forward = forward_nowhere
+            self.relay.set_fed(self.relay.is_read())
+        elif self.relay.is_fed or self.relay.forward is forward_nowhere:
+            self.relay.set_fed(False)
+            self.relay.forward = _forward_to(link)
 
     def _help_out(self) -> None:
         """Try to take over from a coordinator that cannot write."""
         now = lease_clock()
         if now >= self.help_at:
             self.help_at = now + HELP_PERIOD_S * (1 + self.rng.random())
-            self.spawn(self._try_takeover('the coordinator cannot write'))
+            self.spawn(self.try_takeover('the coordinator cannot write'))
 
     def _take_hosts(self, message: Message) -> None:
         hosts = message.get('hosts')
@@ -351,32 +389,44 @@
         """Serve a connection of another host."""
         self.peer_links.add(link)
         try:
-            first = await link.receive(SILENCE_S)
-            if first.get('kind') == 'ask':
-                link.send({'kind': 'tell', 'hears': self._hears()})
-                await asyncio.sleep(CONSULT_TIMEOUT_S)
-                return
-            if first.get('kind') == 'places':
-                await DeskServer(self.forwarder.desk, link).run()
-            elif first.get('kind') == 'hello' and self.leadership is not None:
-                address = str(first.get('address'))
-                await self._serve_member(self.leadership, link, address)
+            await self._serve_first(link, await link.receive(SILENCE_S))
         except (PeerError, ValueError, LookupError):
             # The other host logs the loss; it connects again if it lives.
             return
         finally:
             self.peer_links.discard(link)
 
+    async def _serve_first(self, link: HostLink, first: Message) -> None:
+        kind = first.get('kind')
+        if kind == 'ask':
+            link.send({'kind': 'tell', 'hears': self._hears()})
+            await asyncio.sleep(CONSULT_TIMEOUT_S)
+        elif kind == 'places':
+            await DeskServer(self.forwarder.desk, link).run()
+        elif kind == 'lead':
+            self._take_announcement(first)
+        elif kind == 'hello' and self.leadership is not None:
+            await self._serve_member(self.leadership, link, first)
+
     async def _serve_member(
         self,
         leadership: Leadership,
         link: HostLink,
-        address: str,
+        hello: Message,
     ) -> None:
-        leadership.add_link(link, address)
+        address = str(hello['address'])
+        leadership.add_link(link, address, str(hello['zone']))
+        for table, mirror in self.relay.mirrors.items():
+            known = int(hello['versions'].get(table, 0))
+            rows = mirror.since(known)
+            link.send(encode_rows(table, rows, mirror.version))
+        leadership.send_watchers(link)
         try:
             while not leadership.is_over:
                 report = await link.receive(SILENCE_S)
+                if report['kind'] == 'rows':
+                    self.relay.told(report)
+                    continue
                 if report.get('leaving'):
                     leadership.set_leaving(link)
                 self._take_report(leadership, report)
@@ -396,7 +446,7 @@
         for pool, works in report['works'].items():
             leadership.take_works(pool, works)
 
-    async def _try_takeover(self, reason: str) -> None:
+    async def try_takeover(self, reason: str) -> None:
         """Try to become the coordinator."""
         seen = self.row_version
         await asyncio.sleep(TAKEOVER_SPREAD_S * self.rng.random())
@@ -470,9 +520,42 @@
         leadership.local_hosts = self.take_hosts
         leadership.step_down = self._end_term
         self.leadership = leadership
+        self.relay.set_fed(False)
+        self.relay.forward = leadership.send_rows
+        for address in self.forwarder.places.hosts:
+            if address != self.address:
+                self.spawn(self._announce(address, row, version))
         self.spawn(leadership.run())
         self.spawn(self._report_locally(leadership))
 
+    async def _announce(
+        self,
+        address: str,
+        row: LeaderRow,
+        version: int,
+    ) -> None:
+        """Tell a host who leads; it may hear the predecessor only."""
+        try:
+            link = await connect(address)
+        except PeerError:
+            # It finds the row in the store when it misses the predecessor.
+            return
+        link.send(
+            {
+                'kind': 'lead',
+                'row': row.encode().decode(),
+                'version': version,
+            },
+        )
+        await asyncio.sleep(CONSULT_TIMEOUT_S)
+        link.close()
+
+    def _take_announcement(self, message: Message) -> None:
+        value = str(message['row']).encode()
+        name = LEADER_ROW
+        row = StoredRow(name.table, name.key, value, int(message['version']))
+        self._take_rows(TableState((row,), row.version))
+
     async def _report_locally(self, leadership: Leadership) -> None:
         while not leadership.is_over:
             await asyncio.sleep(REPORT_PERIOD_S)
@@ -485,6 +568,7 @@
         self.leadership = None
         leadership.is_over = True
         self.heard_at = lease_clock()
+        self.relay.forward = forward_nowhere
         for link in list(leadership.links):
             link.close()
         self.log.emit(
@@ -562,3 +646,12 @@
             # A write that may yet be done ends the term as well.
             return isinstance(error, OutcomeUnknownError)
         return True
+
+
+def _forward_to(link: HostLink) -> Forward:
+    """Tell the host at the other end of a connection."""
+
+    def forward(table: str, rows: list[StoredRow], version: int) -> None:
+        link.send(encode_rows(table, rows, version))
+
+    return forward
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -53,6 +53,7 @@
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.ports import RowName, SharedStore, StoredRow
 from oriolearch.registry import Registry
+from oriolearch.relaying import encode_rows
 
 LEADER_TABLE = 'oriolearch-coordinator'
 OWNER_TABLE = 'oriolearch-owners'
@@ -70,6 +71,7 @@
 RATE_HALF_LIFE_S = 1.5  # of the counts of a key
 LEAST_RATE = 0.02  # counts below this are forgotten
 BEAT_PERIOD_S = 0.25  # hosts hear from the coordinator this often
+WATCHERS = 2  # hosts beside the coordinator that follow the tables
 STUCK_AFTER_S = 2.0  # a coordinator whose writes fail lets others take over
 
 
@@ -216,6 +218,8 @@
         self.has_read = False
         self.links: dict[HostLink, str] = {}
         self.leaving: set[HostLink] = set()
+        self.zones: dict[HostLink, str] = {}
+        self.watchers: list[HostLink] = []
         self.is_own_host_leaving = False
         self.sent_hosts: list[str] = []
         self.local_hosts: Callable[[list[str]], None] = _drop_hosts
@@ -273,9 +277,10 @@
             for effect in ownership.step(now):
                 self._carry_out(pool, ownership, effect)
 
-    def add_link(self, link: HostLink, host: str) -> None:
+    def add_link(self, link: HostLink, host: str, zone: str) -> None:
         """Take the connection of a host, and tell it all owners."""
         self.links[link] = host
+        self.zones[link] = zone
         link.send({**self._beat_message(), 'hosts': self._hosts()})
         for pool, ownership in self.pools.items():
             link.send(_owners_message(pool, ownership.snapshot(), True))
@@ -283,7 +288,47 @@
     def drop_link(self, link: HostLink) -> None:
         """Forget the connection of a host."""
         self.links.pop(link, None)
+        self.zones.pop(link, None)
         self.leaving.discard(link)
+        if link in self.watchers:
+            self._choose_watchers()
+
+    def send_rows(
+        self,
+        table: str,
+        rows: list[StoredRow],
+        version: int,
+    ) -> None:
+        """Tell all hosts of changed rows."""
+        message = encode_rows(table, rows, version)
+        for link in list(self.links):
+            link.send(message)
+
+    def send_watchers(self, link: HostLink) -> None:
+        """Tell a new host who follows the tables, and choose more of them."""
+        if len(self.watchers) < WATCHERS:
+            self._choose_watchers()
+        else:
+            link.send(self._watchers_message())
+
+    def _choose_watchers(self) -> None:
+        """Have hosts of other zones follow the tables, if there are any."""
+        kept = [link for link in self.watchers if link in self.links]
+        zones = {self.zones[link] for link in kept}
+        others = [
+            link
+            for link in self.links
+            if link not in kept and link not in self.leaving
+        ]
+        others.sort(key=lambda link: self.zones[link] in zones)
+        self.watchers = [*kept, *others][:WATCHERS]
+        message = self._watchers_message()
+        for link in list(self.links):
+            link.send(message)
+
+    def _watchers_message(self) -> dict[str, Any]:
+        addresses = [self.links[link] for link in self.watchers]
+        return {**self._beat_message(), 'watchers': addresses}
 
     def set_leaving(self, link: HostLink | None) -> None:
         """Take that a host stops; ``None`` for the coordinator's own."""
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -26,6 +26,7 @@
 from oriolearch.platform.watching import PlatformWatch
 from oriolearch.platform.wire import GrantCalls, Wire
 from oriolearch.registry import Registry
+from oriolearch.relaying import Relay
 
 READY_PATH = b'/readiness'
 TICK_S = 0.1  # removals of upstreams take effect within this
@@ -57,6 +58,7 @@
             self.log,
             self.rng,
         )
+        self.relay = Relay()
         self.gate = CallerGate(self.forwarder.serve)
         self.readiness = CallerGate(self._answer_readiness)
         self.servers: list[asyncio.Server] = []
@@ -67,11 +69,12 @@
                 settings.host,
                 f'{settings.ip}:{settings.peer_port}',
                 f'{os.getpid()}-{self.rng.getrandbits(48):x}',
+                settings.zone,
             ),
             self.store,
             self.grants,
-            self.registry,
             self.forwarder,
+            self.relay,
             self.log,
             self.rng,
         )
@@ -111,8 +114,13 @@
                 backlog=BACKLOG,
             )
             self.servers.append(server)
-        watch = PlatformWatch(self.store, self.registry, self.log)
-        for table in watch.tasks():
+        watch = PlatformWatch(
+            self.store,
+            self.relay,
+            self.registry,
+            self.log,
+        )
+        for table in watch.watches():
             self.coordination.spawn(table.run())
         for work in (
             self.coordination.follow(),
--- a/src/oriolearch/platform/documents.py
+++ b/src/oriolearch/platform/documents.py
@@ -2,7 +2,7 @@
 
 import json
 import math
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from oriolearch.core.directory import (
@@ -182,13 +182,13 @@
     )
 
 
-def zones_out(rows: Mapping[str, bytes]) -> frozenset[str]:
+def zones_out(keys: Iterable[str]) -> frozenset[str]:
     """Give the zones that operators have taken out.
 
-    :param rows: the operator's rows by key.
+    :param keys: of the operator's rows.
     """
     return frozenset(
         key.removeprefix(ZONE_OUT_PREFIX)
-        for key in rows
+        for key in keys
         if key.startswith(ZONE_OUT_PREFIX)
     )
--- a/src/oriolearch/platform/watching.py
+++ b/src/oriolearch/platform/watching.py
@@ -1,7 +1,6 @@
 """Keeps the registry up to date with the store's tables."""
 
 import asyncio
-from collections.abc import Callable
 
 from oriolearch.core.errors import (
     HistoryLostError,
@@ -17,8 +16,9 @@
     decode_upstream,
     zones_out,
 )
-from oriolearch.ports import SharedStore, StoredRow, TableState
+from oriolearch.ports import SharedStore, StoredRow
 from oriolearch.registry import Registry
+from oriolearch.relaying import Mirror, Relay
 
 POLL_S = 28.0  # wait of a long poll; all calls are priced
 RETRY_S = 0.15  # after a failed call; doubles up to the next
@@ -26,51 +26,52 @@
 
 
 class TableWatch:
-    """Follows one table.
-
-    :param take: called with rows, and whether they are the whole table.
-    """
+    """Follows one table unless another host tells its changes."""
 
     def __init__(
         self,
-        table: str,
+        mirror: Mirror,
+        relay: Relay,
         store: SharedStore,
         registry: Registry,
         log: EventLog,
-        take: Callable[[TableState, bool], None],
     ) -> None:
-        self.table = table
+        self.mirror = mirror
+        self.relay = relay
         self.store = store
         self.registry = registry
         self.log = log
-        self.take = take
+        self.table = mirror.table
         self.lost_at: float | None = None
+        self.is_history_lost = False
 
     async def run(self) -> None:
         """Read the table, then follow its changes."""
         loop = asyncio.get_running_loop()
-        after: int | None = None
         pause_s = RETRY_S
         while True:
+            await self.relay.starved.wait()
             try:
-                state = await self._next(after)
+                await self._read_next()
             except HistoryLostError:
-                after = None
-                continue
+                self.is_history_lost = True
             except PlatformError as error:
                 self._lost(loop.time(), error)
                 await asyncio.sleep(pause_s)
                 pause_s = min(pause_s * 2, LONGEST_RETRY_S)
-                continue
-            pause_s = RETRY_S
-            self._regained(loop.time(), state.version)
-            self.take(state, after is None)
-            after = state.version
+            else:
+                pause_s = RETRY_S
+                self._regained(loop.time(), self.mirror.version)
 
-    async def _next(self, after: int | None) -> TableState:
-        if after is None:
-            return await self.store.read(self.table)
-        return await self.store.follow(self.table, after, POLL_S)
+    async def _read_next(self) -> None:
+        is_whole = self.is_history_lost or not self.mirror.is_read
+        if is_whole:
+            state = await self.store.read(self.table)
+        else:
+            after = self.mirror.version
+            state = await self.store.follow(self.table, after, POLL_S)
+        self.is_history_lost = False
+        self.relay.read(self.table, state, is_whole=is_whole)
 
     def _lost(self, now: float, error: PlatformError) -> None:
         self.registry.note_trouble(now)
@@ -101,54 +102,54 @@
     def __init__(
         self,
         store: SharedStore,
+        relay: Relay,
         registry: Registry,
         log: EventLog,
     ) -> None:
         self.store = store
+        self.relay = relay
         self.registry = registry
         self.log = log
-        self.operator_rows: dict[str, bytes] = {}
         self.upstream_names: set[str] = set()
+        self.operator = relay.add(OPERATOR_TABLE, self.take_operator)
+        self.upstreams = relay.add(UPSTREAM_TABLE, self.take_upstreams)
 
-    def tasks(self) -> tuple[TableWatch, ...]:
+    def watches(self) -> tuple[TableWatch, ...]:
         """Give the watches of both tables."""
         return tuple(
-            TableWatch(table, self.store, self.registry, self.log, take)
-            for table, take in (
-                (OPERATOR_TABLE, self.take_operator),
-                (UPSTREAM_TABLE, self.take_upstreams),
+            TableWatch(
+                mirror,
+                self.relay,
+                self.store,
+                self.registry,
+                self.log,
             )
+            for mirror in (self.operator, self.upstreams)
         )
 
-    def take_operator(self, state: TableState, is_whole: bool) -> None:
-        """Take rows of the operator."""
-        if is_whole:
-            self.operator_rows.clear()
-        for row in state.rows:
-            if row.value is None:
-                self.operator_rows.pop(row.key, None)
-                continue
-            self.operator_rows[row.key] = row.value
-            if row.key == CONFIG_KEY:
+    def take_operator(self, rows: list[StoredRow], version: int) -> None:
+        """Take changed rows of the operator."""
+        for row in rows:
+            if row.key == CONFIG_KEY and row.value is not None:
                 self._take_config(row, row.value)
-        zones = zones_out(self.operator_rows)
+        zones = zones_out(
+            row.key
+            for row in self.operator.rows.values()
+            if row.value is not None
+        )
         if zones != self.registry.zones_out:
             now = asyncio.get_running_loop().time()
             self.registry.set_zones_out(now, zones)
             self.log.emit(
                 Event.ZONES_OUT,
                 zones=sorted(zones),
-                row_version=state.version,
+                row_version=version,
             )
 
-    def take_upstreams(self, state: TableState, is_whole: bool) -> None:
-        """Take rows of servers."""
+    def take_upstreams(self, rows: list[StoredRow], version: int) -> None:
+        """Take changed rows of servers."""
         now = asyncio.get_running_loop().time()
-        if is_whole:
-            listed = {row.key for row in state.rows}
-            for name in self.upstream_names - listed:
-                self._remove(now, name, state.version)
-        for row in state.rows:
+        for row in rows:
             if row.value is None:
                 self._remove(now, row.key, row.version)
             else:
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -401,3 +401,60 @@
     missing = str(tmp_path / 'none.toml')
     with pytest.raises(ValidationError, match='none.toml'):
         load_settings(missing)
+
+
+def leader_of(installation: Installation) -> HostDaemon:
+    return next(
+        host
+        for host in installation.hosts
+        if host.coordination.leadership is not None
+    )
+
+
+async def knows_version(installation: Installation, version: int) -> None:
+    async with asyncio.timeout(3):
+        while not all(
+            host.registry.directory is not None
+            and host.registry.directory.version == version
+            for host in installation.hosts
+        ):
+            await asyncio.sleep(0.05)
+
+
+def test_few_hosts_follow_the_tables() -> None:
+    """Calls of the store that grow with changes times hosts."""
+
+    async def scene(installation: Installation) -> None:
+        await asyncio.sleep(1.0)
+        for number in range(8, 12):
+            installation.store.calls.clear()
+            config = {**CONFIG, 'version': f'r{number}'}
+            installation.store.put('op', 'config', config)
+            await knows_version(installation, number)
+        polls = installation.store.calls.count('/rows-feed')
+        assert polls <= 3
+
+    play(scene, hosts=6)
+
+
+def test_host_that_takes_over_passes_on_what_it_reads() -> None:
+    """A configuration that only the new coordinator knows.
+
+    Seen after an outage of the store: the connection to the predecessor
+    ended after the takeover, and its end switched the passing on off again.
+    """
+
+    async def scene(installation: Installation) -> None:
+        await asyncio.sleep(1.0)
+        old = leader_of(installation)
+        new = next(host for host in installation.hosts if host is not old)
+        await new.coordination.try_takeover('test')
+        await asyncio.sleep(1.0)
+        assert leader_of(installation) is new
+        # The first change ends the polls from before the takeover.
+        for number in (9, 10):
+            config = {**CONFIG, 'version': f'r{number}'}
+            installation.store.put('op', 'config', config)
+            await knows_version(installation, number)
+
+    play(scene, hosts=5)
