--- a/src/oriolearch/adapters/entry.py
+++ b/src/oriolearch/adapters/entry.py
@@ -25,13 +25,10 @@
 )
 from oriolearch.adapters.fields import request_fields
 from oriolearch.adapters.framing import FramingError
+from oriolearch.adapters.metrics import render_gauges
 from oriolearch.adapters.problems import RefusedError, problem
 from oriolearch.adapters.requests import CallerRequest
-from oriolearch.adapters.telemetry import (
-    Telemetry,
-    make_telemetry,
-    render_gauges,
-)
+from oriolearch.adapters.telemetry import Telemetry, make_telemetry
 from oriolearch.core.errors import (
     InvariantError,
     MissingKeyError,
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -15,7 +15,7 @@
 from pythonjsonlogger.json import JsonFormatter
 
 LOGGER_NAME = 'oriolearch'
-EVENTS_PER_S = 20  # of one number; an outage must not fill the disk or pipe
+EVENTS_PER_S = 50  # of one number; an outage must not fill the disk or pipe
 PIPE_BYTES = 65536  # kept for a reader of the log that falls behind
 
 
@@ -205,6 +205,22 @@
         ('request', 'upstream', 'status', 'load'),
         'An upstream stated that it did not run a request.',
     )
+    REQUEST_DELIVERED = EventKind(
+        414,
+        logging.INFO,
+        (
+            'request',
+            'version',
+            'route',
+            'upstream',
+            'placed_by',
+            'sends',
+            'placed_s',
+            'took_s',
+            'status',
+        ),
+        'An upstream answered a request; times count from its arrival.',
+    )
     STORE_LOST = EventKind(
         421,
         logging.WARNING,
@@ -381,6 +397,7 @@
         self.second = 0
         self.counts: dict[Event, int] = {}
         self.suppressed: dict[Event, int] = {}
+        self.totals: dict[Event, int] = {}
 
     def emit(self, event: Event, **fields: object) -> None:
         """Write an event.
@@ -388,6 +405,7 @@
         :raises ValueError: when its fields are not those of the catalogue.
         """
         kind = event.value
+        self.totals[event] = self.totals.get(event, 0) + 1
         if not self.logger.isEnabledFor(kind.level):
             return
         if set(kind.fields) != set(fields):
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from oriolearch.adapters.caller_links import IncomingRequest, Reply
+from oriolearch.adapters.metrics import Latencies
 from oriolearch.adapters.upstream_links import (
     Answer,
     LinkError,
@@ -103,6 +104,8 @@
         self.arrivals = 0
         self.last_problem = ''
         self.is_over = False
+        self.version = 0
+        self.placed_at = 0.0
         self.is_keyed = is_keyed
         self.key = head.key or 0
         self.owner: Incarnation | None = None
@@ -151,6 +154,7 @@
         self.owner_waits: dict[asyncio.Future[None], _Job] = {}
         self.served: dict[str, dict[str, float]] = {}
         self.count_key: Callable[[str, int], None] = _ignore
+        self.latencies = Latencies()
         self.retry_share = 0.0
         self.cold_burst = 1.0
         registry.listeners.append(self.refresh)
@@ -249,6 +253,8 @@
                 after_s=refusal.after_s,
                 waited_s=round(_now() - request.received_at, 4),
             )
+            took_s = _now() - request.received_at
+            self.latencies.record('', str(refusal.status), took_s)
             return _refusal_reply(refusal)
 
     async def _serve(
@@ -260,12 +266,14 @@
         self.retries[job.pool].earn()
         while True:
             place = await self._acquire(job)
+            job.placed_at = _now()
             ending = Ending(EndKind.OTHER)
             try:
                 reply, ending = await self._send(job, place.upstream)
             finally:
                 place.end(ending)
             if reply is not None:
+                self._log_delivery(job, place, reply)
                 return reply
             self._check_resend(job)
             if job.is_keyed:
@@ -273,6 +281,22 @@
             else:
                 job.tried |= {place.upstream}
 
+    def _log_delivery(self, job: _Job, place: Place, reply: Reply) -> None:
+        took_s = _now() - job.request.received_at
+        self.latencies.record(job.pool, str(reply.status), took_s)
+        self.log.emit(
+            Event.REQUEST_DELIVERED,
+            request=job.head.request_id.decode('latin-1'),
+            version=job.version,
+            route=job.route.name,
+            upstream=place.upstream.text(),
+            placed_by=place.placed_by,
+            sends=job.sends,
+            placed_s=round(job.placed_at - job.request.received_at, 4),
+            took_s=round(took_s, 4),
+            status=reply.status,
+        )
+
     def _make_job(self, request: IncomingRequest, head: RequestHead) -> _Job:
         directory = self.registry.directory
         if directory is None:
@@ -288,7 +312,9 @@
             if head.key is None:
                 raise _RefusedError(400, 'no-key')
             self.count_key(pool, head.key)
-        return _Job(request, head, route, pool, plan.is_keyed)
+        job = _Job(request, head, route, pool, plan.is_keyed)
+        job.version = directory.version
+        return job
 
     def _pick_pool(self, route: RoutePlan) -> str:
         """Take the destination that is furthest below its share."""
--- a/src/oriolearch/placing.py
+++ b/src/oriolearch/placing.py
@@ -211,14 +211,19 @@
 
 
 class Place:
-    """A place at an upstream; :meth:`end` gives it back."""
+    """A place at an upstream; :meth:`end` gives it back.
+
+    :ivar placed_by: address of the host that gave it.
+    """
 
     def __init__(
         self,
         upstream: Incarnation,
+        placed_by: str,
         give_back: Callable[[Ending], None],
     ) -> None:
         self.upstream = upstream
+        self.placed_by = placed_by
         self.give_back = give_back
         self.is_over = False
 
@@ -331,6 +336,7 @@
             return
         place = Place(
             parse_incarnation(message['upstream']),
+            self.address,
             lambda ending: link.send(encode_ending(number, ending)),
         )
         outcome.set_result(place)
@@ -441,6 +447,7 @@
         else:
             place = Place(
                 waiter.place.entry.ref,
+                self.address,
                 lambda ending: self.desk.end(pool, waiter, ending),
             )
             outcome.set_result(place)
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -1,8 +1,4 @@
-"""One host on the users' platform.
-
-Run by ``python -m oriolearch.platform.daemon``; the path of the settings file
-is in ``ORIOLEARCH_CONFIG``.
-"""
+"""One host on the users' platform."""
 
 import asyncio
 import gc
@@ -10,13 +6,13 @@
 import os
 import random
 import signal
-import sys
 
 from oriolearch.adapters.caller_links import (
     CallerGate,
     IncomingRequest,
     Reply,
 )
+from oriolearch.adapters.metrics import render_events
 from oriolearch.coordination import Coordination, HostIdentity
 from oriolearch.core.errors import ValidationError
 from oriolearch.eventlog import Event, EventLog, configure_pipe_logging
@@ -62,6 +58,7 @@
         self.gate = CallerGate(self.forwarder.serve)
         self.readiness = CallerGate(self._answer_readiness)
         self.servers: list[asyncio.Server] = []
+        self.metrics = CallerGate(self._answer_metrics)
         self.is_stopping = False
         self.has_been_ready = False
         self.coordination = Coordination(
@@ -105,6 +102,7 @@
         for gate, address in (
             (self.gate, settings.entry),
             (self.readiness, settings.readiness),
+            (self.metrics, f'{settings.ip}:{settings.metrics_port}'),
         ):
             host, _, port = address.rpartition(':')
             server = await loop.create_server(
@@ -134,6 +132,13 @@
         is_ready = request.target == READY_PATH and self._is_ready()
         return Reply(200 if is_ready else 503)
 
+    async def _answer_metrics(self, request: IncomingRequest) -> Reply:
+        lines = [
+            *render_events(self.log.totals),
+            *self.forwarder.latencies.render(),
+        ]
+        return Reply(200, [], '\n'.join((*lines, '')).encode())
+
     def _is_ready(self) -> bool:
         registry = self.registry
         if self.is_stopping or registry.directory is None:
@@ -221,7 +226,3 @@
         return 2
     asyncio.run(HostDaemon(settings).run())
     return 0
-
-
-if __name__ == '__main__':
-    sys.exit(main())
--- a/src/oriolearch/platform/settings.py
+++ b/src/oriolearch/platform/settings.py
@@ -8,6 +8,7 @@
 
 from oriolearch.core.errors import ValidationError
 
+METRICS_PORT = 9464  # as in the deploy file; the usual one of exporters
 PATH_VARIABLE = 'ORIOLEARCH_CONFIG'
 
 
@@ -43,6 +44,7 @@
     :ivar entry: where callers connect.
     :ivar readiness: where the platform asks whether callers may come.
     :ivar peer_port: where other hosts connect.
+    :ivar metrics_port: where counters and latencies are served.
     :ivar zones: region of each availability zone.
     """
 
@@ -53,6 +55,7 @@
     entry: str
     readiness: str
     peer_port: int
+    metrics_port: int
     store: str
     heartbeat_s: float
     bounds: Bounds
@@ -110,6 +113,7 @@
         entry=need('listen.front', str),
         readiness=need('listen.ready', str),
         peer_port=ports[0],
+        metrics_port=int(fields.get('metrics_port', METRICS_PORT)),
         store=need('platform.address', str),
         heartbeat_s=float(fields.get('heartbeat_s', 1)),
         bounds=_read_bounds(source, fields.get('bounds', {})),
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -72,6 +72,7 @@
         'zone': zone,
         'zones': {'z1': 'r', 'z2': 'r'},
         'port_range': [free_port(), 1],
+        'metrics_port': free_port(),
         'listen': {
             'front': f'127.0.0.1:{free_port()}',
             'ready': f'127.0.0.1:{free_port()}',
@@ -357,6 +358,21 @@
     return answer.status
 
 
+def test_metrics_count_requests_and_events() -> None:
+    """An on-call engineer without counters or latencies."""
+
+    async def scene(installation: Installation) -> None:
+        found = installation.hosts[0].settings
+        address = f'{found.ip}:{found.metrics_port}'
+        request = b'GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n'
+        answer = await LinkPool(address).exchange(request, 1.0)
+        text = answer.body.decode()
+        assert 'oriolearch_events_total{event="request_delivered"}' in text
+        assert 'pool="orders",outcome="200",quantile="0.99"' in text
+
+    play(scene)
+
+
 def test_ready_only_with_a_configuration() -> None:
     """Callers that come before the routes are known get a 404."""
 
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -12,11 +12,8 @@
     InMemorySpanExporter,
 )
 
-from oriolearch.adapters.telemetry import (
-    JsonLineExporter,
-    Latencies,
-    make_telemetry,
-)
+from oriolearch.adapters.metrics import Latencies
+from oriolearch.adapters.telemetry import JsonLineExporter, make_telemetry
 from oriolearch.eventlog import (
     EVENTS_PER_S,
     LOGGER_NAME,
