Refuse early what cannot be served; prove a predecessor's end

Ruled out: lost owner updates (hosts and coordinator agreed) and a shorter authority (an outage of the store of 9 s must not interrupt keys).

Change: waiting requests are judged again by their place in the queue; hosts hear when keys should have an owner and refuse at once if that is too late; a successor asks its predecessor's host and, if another run answers or it does not lead, waits for the last grants only.

--- a/src/oriolearch/clock.py
+++ b/src/oriolearch/clock.py
@@ -29,6 +29,11 @@
         return time.time()
 
 
+def lease_clock() -> float:
+    """Give seconds of a clock that also counts suspended time."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock:
     """A clock that only moves when it is advanced."""
 
--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from oriolearch.adapters.host_links import HostLink, Message, connect, listen
+from oriolearch.clock import lease_clock
 from oriolearch.core.errors import (
     ConditionFailedError,
     HistoryLostError,
@@ -19,6 +20,7 @@
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.forwarding import Forwarder
 from oriolearch.leadership import (
+    AUTHORITY_S,
     LEADER_ROW,
     LEADER_TABLE,
     OWNER_TABLE,
@@ -27,7 +29,6 @@
     LeaderRow,
     decode_leader,
     decode_ranges,
-    lease_clock,
     read_owners,
 )
 from oriolearch.placing import DeskServer
@@ -50,6 +51,7 @@
 LEADER_POLL_S = 4.0  # of the coordinator, whose authority each answer extends
 RETRY_S = 0.25  # after a failed call of the store
 LONGEST_PAUSE_S = 1.5  # between takeovers that the store does not answer
+END_PERIOD_S = 0.3  # a predecessor's host is asked this often
 HELP_PERIOD_S = 1.5  # between takeovers from one that cannot write
 OWNERS_PERIOD_S = 1.0  # owners are read from the store at most this often
 
@@ -257,18 +259,11 @@
         if peer == self.address:
             return False
         try:
-            link = await connect(peer)
+            answer = await _ask(peer)
         except PeerRefusedError:
             return False
         except PeerError:
             return None
-        try:
-            link.send({'kind': 'ask'})
-            answer = await link.receive(CONSULT_TIMEOUT_S)
-        except PeerError:
-            return None
-        finally:
-            link.close()
         return answer.get('hears') == term
 
     async def _hear(self, row: LeaderRow) -> str:
@@ -399,7 +394,15 @@
     async def _serve_first(self, link: HostLink, first: Message) -> None:
         kind = first.get('kind')
         if kind == 'ask':
-            link.send({'kind': 'tell', 'hears': self._hears()})
+            leadership = self.leadership
+            link.send(
+                {
+                    'kind': 'tell',
+                    'hears': self._hears(),
+                    'leads': leadership.row.term if leadership else 0,
+                    'nonce': self.nonce,
+                },
+            )
             await asyncio.sleep(CONSULT_TIMEOUT_S)
         elif kind == 'places':
             await DeskServer(self.forwarder.desk, link).run()
@@ -503,6 +506,7 @@
     ) -> None:
         if self.row_version > version:
             return
+        predecessor = None if self.row == row else self.row
         self.row = row
         self.row_version = version
         leadership = Leadership(
@@ -516,6 +520,8 @@
         )
         leadership.confirmed_at = began_at
         leadership.is_predecessor_over = was_ended
+        if predecessor is not None and not was_ended:
+            self.spawn(self._await_end(leadership, predecessor))
         leadership.local_changes = self.take_owners
         leadership.local_hosts = self.take_hosts
         leadership.step_down = self._end_term
@@ -528,6 +534,29 @@
         self.spawn(leadership.run())
         self.spawn(self._report_locally(leadership))
 
+    async def _await_end(
+        self,
+        leadership: Leadership,
+        predecessor: LeaderRow,
+    ) -> None:
+        """Find proof that the predecessor's term is over.
+
+        Its host answers with another run, or does not lead that term.
+        """
+        ends_at = lease_clock() + AUTHORITY_S
+        while not leadership.is_over and lease_clock() < ends_at:
+            try:
+                answer = await _ask(predecessor.address or '')
+            except PeerError:
+                # It may be cut off and still lead: no proof.
+                await asyncio.sleep(END_PERIOD_S)
+                continue
+            is_same_run = answer.get('nonce') == predecessor.nonce
+            if not is_same_run or answer.get('leads') != predecessor.term:
+                leadership.predecessor_ended()
+                return
+            await asyncio.sleep(END_PERIOD_S)
+
     async def _announce(
         self,
         address: str,
@@ -655,3 +684,16 @@
         link.send(encode_rows(table, rows, version))
 
     return forward
+
+
+async def _ask(address: str) -> Message:
+    """Ask another host what it hears and whether it leads.
+
+    :raises PeerError: when it does not answer.
+    """
+    link = await connect(address)
+    try:
+        link.send({'kind': 'ask'})
+        return await link.receive(CONSULT_TIMEOUT_S)
+    finally:
+        link.close()
--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -168,7 +168,11 @@
         if lane is not None and not self._is_queued_ahead(now, waiter, lane):
             self._place(now, waiter, lane)
             return
-        waiter.refused_for = self._hopeless(now, waiter)
+        waiter.refused_for = self._hopeless(
+            now,
+            waiter,
+            self._ahead(now, waiter),
+        )
         if waiter.refused_for is None:
             self.waiting.append(waiter)
 
@@ -180,20 +184,21 @@
     def grant(self, now: float) -> list[Waiter]:
         """Give the waiting requests that were placed or refused."""
         settled = []
-        full: set[Incarnation | None] = set()
+        ahead: dict[Incarnation | None, int] = {}
         for waiter in self._ordered(now):
-            if waiter.owner in full and not waiter.tried:
-                lane = None
-            else:
+            lane = None
+            if waiter.owner not in ahead or waiter.tried:
                 lane = self._choose(now, waiter)
-            if lane is None:
-                full.add(waiter.owner)
-                waiter.refused_for = self._expired(now, waiter)
-            else:
+            if lane is not None:
                 self._place(now, waiter, lane)
-            if lane is not None or waiter.refused_for is not None:
-                self.waiting.remove(waiter)
-                settled.append(waiter)
+            else:
+                place = ahead.get(waiter.owner, 0)
+                waiter.refused_for = self._hopeless(now, waiter, place)
+                if waiter.refused_for is None:
+                    ahead[waiter.owner] = place + 1
+                    continue
+            self.waiting.remove(waiter)
+            settled.append(waiter)
         return settled
 
     def _ordered(self, now: float) -> list[Waiter]:
@@ -301,20 +306,31 @@
             for other in self.waiting
         )
 
-    def _hopeless(self, now: float, waiter: Waiter) -> float | None:
-        """Give a time to come back when waiting would be of no use."""
+    def _ahead(self, now: float, waiter: Waiter) -> int:
+        """Count the waiting requests that are served before another."""
+        order = self._order(now, waiter)
+        return sum(
+            1
+            for other in self.waiting
+            if other.owner == waiter.owner and self._order(now, other) <= order
+        )
+
+    def _hopeless(
+        self,
+        now: float,
+        waiter: Waiter,
+        ahead: int,
+    ) -> float | None:
+        """Give a time to come back when waiting would be of no use.
+
+        :param ahead: waiting requests that are served before it.
+        """
         lanes = self._lanes_for(waiter)
         usable = [
             lane for lane in lanes if lane.is_usable and not lane.is_silent(now)
         ]
         if not usable:
             return LOST_RETRY_S
-        order = self._order(now, waiter)
-        ahead = sum(
-            1
-            for other in self.waiting
-            if other.owner == waiter.owner and self._order(now, other) <= order
-        )
         rate = sum(self._rate(now, lane) for lane in usable)
         soonest_s = min(
             max(lane.wait_s(now), lane.paused_until - now + lane.work_s)
@@ -329,16 +345,6 @@
             return min(rate, self.plan.cold_rate)
         return rate
 
-    def _expired(self, now: float, waiter: Waiter) -> float | None:
-        """Give a time to come back when an answer would come too late."""
-        lanes = self._lanes_for(waiter)
-        if all(lane.is_silent(now) or not lane.is_usable for lane in lanes):
-            return LOST_RETRY_S
-        work_s = min(lane.work_s for lane in lanes)
-        if now + work_s > waiter.useful_until:
-            return max(work_s, LEAST_RETRY_S)
-        return None
-
     def _order(
         self,
         now: float,
--- a/src/oriolearch/core/keyranges.py
+++ b/src/oriolearch/core/keyranges.py
@@ -2,7 +2,7 @@
 
 from bisect import bisect_right
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from oriolearch.core.directory import KEY_COUNT, Incarnation
 
@@ -13,11 +13,13 @@
 
     :param last: the last key, which belongs to the range.
     :param owner: ``None`` while no upstream holds the keys.
+    :param expected_at: when they should have an owner again.
     """
 
     first: int
     last: int
     owner: Incarnation | None
+    expected_at: float = 0.0
 
 
 class OwnerMap:
@@ -53,10 +55,10 @@
             yield known
             continue
         if known.first < change.first:
-            yield OwnedRange(known.first, change.first - 1, known.owner)
+            yield replace(known, last=change.first - 1)
         if not is_placed:
             yield change
             is_placed = True
         if known.last > change.last:
             first = max(known.first, change.last + 1)
-            yield OwnedRange(first, known.last, known.owner)
+            yield replace(known, first=first)
--- a/src/oriolearch/core/ownership.py
+++ b/src/oriolearch/core/ownership.py
@@ -33,6 +33,7 @@
 CALLS_AT_ONCE = 2  # grants and releases under way at one upstream
 STORE_DOUBT_S = 0.4  # a write that takes longer may be seen by a successor
 SETTLE_S = 1.2  # a predecessor has stopped renewing what it moved by then
+MOVE_S = 0.2  # a move with a handover takes about as long
 PROBE_PERIOD_S = 0.25  # a silent upstream is asked this often
 LOST_AFTER_S = 0.8  # a silent upstream loses its keys after this
 MERGE_AFTER_S = 1.0  # a move is dropped from the row this long after its end
@@ -190,6 +191,15 @@
         self.upstreams = upstreams
         self.ended.update(ended)
 
+    def limit_unknown(self, until: float) -> None:
+        """Set the end of all grants that the predecessor may have given."""
+        for keys in self.ranges:
+            keys.held_until = min(
+                keys.held_until,
+                max(until, keys.sent_until),
+            )
+            keys.free_at = min(keys.free_at, max(until, keys.settled_at))
+
     def move(
         self,
         now: float,
@@ -349,17 +359,22 @@
         self.changed = []
         return changes
 
-    def snapshot(self) -> list[OwnedRange]:
+    def snapshot(self, now: float) -> list[OwnedRange]:
         """Give the owner of all keys."""
         return [
-            OwnedRange(
-                keys.first,
-                keys.last,
-                keys.owner if keys.is_held else None,
-            )
+            OwnedRange(keys.first, keys.last, keys.owner)
+            if keys.is_held
+            else self._missing_range(now, keys)
             for keys in self.ranges
         ]
 
+    def _missing_range(self, now: float, keys: KeyRange) -> OwnedRange:
+        """Tell when keys that nobody holds should have an owner."""
+        expected_at = now + MOVE_S
+        if keys.previous in self.silent_since:
+            expected_at = max(expected_at, keys.free_at)
+        return OwnedRange(keys.first, keys.last, None, expected_at)
+
     def _change(self, now: float, keys: KeyRange) -> None:
         """Have a range stored before anything is done with it."""
         self.revision += 1
@@ -381,7 +396,7 @@
         keys.doubtful_until = 0.0
         keys.is_held = False
         keys.due_at = now
-        self.changed.append(OwnedRange(keys.first, keys.last, None))
+        self.changed.append(self._missing_range(now, keys))
 
     def _probes(self, now: float) -> Iterator[Probe]:
         for ref in list(self.silent_since):
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -21,6 +21,7 @@
 from oriolearch.core.dispatching import Dispatcher, Waiter
 from oriolearch.core.keyranges import OwnerMap
 from oriolearch.core.retries import Budget
+from oriolearch.clock import lease_clock
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.placing import (
     Desk,
@@ -41,6 +42,7 @@
 RECHECK_S = 0.03  # waiting requests are looked at this often
 OWNER_RETRY_S = 0.05  # after an upstream that does not hold the key
 OWNER_WAIT_S = 0.8  # a moving key has its new owner within a few calls
+LONGEST_OWNER_WAIT_S = 0.5  # until a lost owner is replaced
 OWNER_LOST_RETRY_S = 1.0  # a lost owner is replaced within some seconds
 NO_BUDGET_RETRY_S = 0.2  # second sends are earned by then
 RETRY_BURST = 3.0  # second sends that a host may save up
@@ -369,9 +371,12 @@
         :raises _RefusedError: when it has none for too long.
         """
         owners = self.owner_map(job.pool)
-        owner = owners.find(job.key).owner
-        if owner is not None:
-            return owner
+        found = owners.find(job.key)
+        if found.owner is not None:
+            return found.owner
+        expected_s = found.expected_at - lease_clock()
+        if expected_s > LONGEST_OWNER_WAIT_S:
+            raise self._given_up(job, 'owner-lost', expected_s)
         woken = asyncio.get_running_loop().create_future()
         self.owner_waits[woken] = job
         wait_s = min(OWNER_WAIT_S, job.deadline - FEWEST_LEFT_S - _now())
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -10,13 +10,13 @@
 import asyncio
 import json
 import math
-import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any, Protocol
 
 from oriolearch.adapters.host_links import HostLink
 from oriolearch.adapters.upstream_links import LinkError
+from oriolearch.clock import lease_clock
 from oriolearch.core.balance import (
     COLD_SHARE,
     KeyRates,
@@ -79,11 +79,8 @@
 MOST_WEIGHT = 2.5
 
 _LN_2 = math.log(2)
-
-
-def lease_clock() -> float:
-    """Give seconds of a clock that also counts suspended time."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+# From the sending of a grant to the end of the keys' hold.
+_LONGEST_GRANT_S = HOLD_S * CLOCK_SHARE + CLOCK_MARGIN_S + CALL_TIMEOUT_S
 
 
 class GrantPort(Protocol):
@@ -283,7 +280,9 @@
         self.zones[link] = zone
         link.send({**self._beat_message(), 'hosts': self._hosts()})
         for pool, ownership in self.pools.items():
-            link.send(_owners_message(pool, ownership.snapshot(), True))
+            link.send(
+                _owners_message(pool, ownership.snapshot(lease_clock()), True)
+            )
 
     def drop_link(self, link: HostLink) -> None:
         """Forget the connection of a host."""
@@ -352,6 +351,13 @@
         for name in set(known) - usable:
             del known[name]
 
+    def predecessor_ended(self) -> None:
+        """Take the proof that the predecessor gives no more grants."""
+        self.is_predecessor_over = True
+        until = lease_clock() + _LONGEST_GRANT_S
+        for ownership in self.pools.values():
+            ownership.limit_unknown(until)
+
     async def _read_pools(self) -> None:
         while not self.has_read and not self.is_over:
             try:
@@ -401,8 +407,7 @@
             if not usable:
                 return None
             ranges = even_ranges(usable)
-        hold_s = HOLD_S * CLOCK_SHARE + CLOCK_MARGIN_S + CALL_TIMEOUT_S
-        unknown_until = self.began_at + hold_s
+        unknown_until = self.began_at + _LONGEST_GRANT_S
         if not self.is_predecessor_over:
             unknown_until += AUTHORITY_S
         ownership = KeyOwnership(
@@ -420,7 +425,7 @@
         self.pool_versions[pool] = stored.version if stored else 0
         if stored is not None and stored.value is None:
             self.pool_versions[pool] = 0
-        self._send_owners(pool, ownership.snapshot(), True)
+        self._send_owners(pool, ownership.snapshot(lease_clock()), True)
         return ownership
 
     def _rescue(self, now: float) -> None:
@@ -699,12 +704,18 @@
     changes: list[OwnedRange],
     is_whole: bool,
 ) -> dict[str, Any]:
+    now = lease_clock()
     return {
         'kind': 'owners',
         'pool': pool,
         'whole': is_whole,
         'ranges': [
-            [keys.first, keys.last, keys.owner.text() if keys.owner else None]
+            [
+                keys.first,
+                keys.last,
+                keys.owner.text() if keys.owner else None,
+                round(keys.expected_at - now, 3) if not keys.owner else 0,
+            ]
             for keys in changes
         ],
     }
@@ -715,10 +726,11 @@
 
     :raises ValueError: when they are malformed.
     """
+    now = lease_clock()
     try:
         return [
-            OwnedRange(int(first), int(last), _ref(owner))
-            for first, last, owner in message['ranges']
+            OwnedRange(int(first), int(last), _ref(owner), now + float(in_s))
+            for first, last, owner, in_s in message['ranges']
         ]
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f'malformed owners: {error}') from error
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -122,6 +122,23 @@
     assert refused[-1] > 0
 
 
+def test_overtaken_request_is_refused_before_its_deadline() -> None:
+    """A request held until its end because urgent ones overtook it.
+
+    Load pattern: a long overload; half of the refused requests had waited
+    for 0.4 s on average before they were told to come back.
+    """
+    made = dispatcher(entry(A))
+    fill(made)
+    overtaken = ask(priority=2, aim_at=0.3, useful_until=1.0)
+    made.submit(0.0, overtaken)
+    assert overtaken.refused_for is None
+    for _ in range(14):
+        made.submit(0.0, ask(priority=1, aim_at=2.0, useful_until=3.0))
+    assert overtaken in made.grant(0.05)
+    assert overtaken.refused_for is not None
+
+
 def test_retry_time_grows_with_the_queue() -> None:
     """Callers that are all told to come back at the same moment."""
     made = dispatcher(entry(A))
--- a/tests/test_key_ownership.py
+++ b/tests/test_key_ownership.py
@@ -103,7 +103,7 @@
         self.ownership.call_ended(ref)
 
     def owner(self, key: int) -> Incarnation | None:
-        ranges = self.ownership.snapshot()
+        ranges = self.ownership.snapshot(self.now)
         return next(keys.owner for keys in ranges if keys.last >= key)
 
 
@@ -258,6 +258,39 @@
     assert fleet.owner(0) == B
 
 
+def test_proof_of_the_predecessors_end_shortens_the_wait() -> None:
+    """Keys that wait for a coordinator whose host runs anew.
+
+    Seen on days that kill all hosts: keys of lost upstreams had no owner for
+    15 seconds after each takeover.
+    """
+    fleet = Fleet(even_ranges([A, B]), unknown_until=15.0)
+    fleet.silent.add(A)
+    fleet.run(1.5)
+    assert fleet.ownership.move(fleet.now, 0, KEY_COUNT // 2 - 1, B)
+    fleet.run(0.5)
+    fleet.ownership.limit_unknown(fleet.now + 3.0)
+    fleet.run(2.8)
+    assert fleet.owner(0) is None
+    fleet.run(0.6)
+    assert fleet.owner(0) == B
+
+
+def test_expected_time_of_an_owner() -> None:
+    """A request that waits for an owner which cannot come in time."""
+    fleet = started(A, B)
+    fleet.silent.add(A)
+    fleet.run(1.5)
+    assert fleet.ownership.move(fleet.now, 0, 9, B)
+    fleet.run(0.1)
+    missing = fleet.ownership.snapshot(fleet.now)[0]
+    assert missing.owner is None
+    assert missing.expected_at == fleet.ownership.find(0).free_at
+    assert fleet.ownership.move(fleet.now, KEY_COUNT - 1, KEY_COUNT - 1, C)
+    fleet.run(0.25)
+    assert fleet.owner(KEY_COUNT - 1) == C
+
+
 def test_confirmed_grant_ends_the_doubt_about_the_predecessor() -> None:
     """A wait for a predecessor whose fences are refused by now."""
     fleet = Fleet(even_ranges([A, B]), unknown_until=60.0)
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -235,6 +235,25 @@
     play(scene, hosts=2)
 
 
+def test_coordinator_and_server_are_lost_and_the_host_returns() -> None:
+    """Keys of a dead server that wait for a coordinator known to be gone."""
+
+    async def scene(installation: Installation) -> None:
+        leader = leader_of(installation)
+        dead = installation.servers[0]
+        dead.stop()
+        installation.store.remove('servers', dead.name)
+        installation.kill(leader)
+        await asyncio.sleep(0.5)
+        again = HostDaemon(leader.settings)
+        await again.start()
+        installation.hosts.append(again)
+        async with asyncio.timeout(9):
+            await installation.serves_all()
+
+    play(scene, hosts=3)
+
+
 def test_draining_server_gives_its_keys_away() -> None:
     """Requests that reach a server which is about to leave."""
 
