--- a/src/oriolearch/platform/documents.py
+++ b/src/oriolearch/platform/documents.py
@@ -36,7 +36,8 @@
 
     def __init__(self, source: str, found: object) -> None:
         if not isinstance(found, dict):
-            raise ValidationError(source, '', found, 'must be an object')
+            parent, _, field = source.rpartition('.')
+            raise ValidationError(parent, field, found, 'must be an object')
         self.source = source
         self.found: dict[str, Any] = found
 
