Recognise a stranger at an upstream's address; prefer large hosts

Ruled out: the takeover at second 5 itself (the predecessor answered and its end was proven) and the size of the owners' row.

Change: an answer that names another instance, or a 400 followed by such a health answer, proves the end. Small hosts wait longer before a takeover; the places of a plain pool and the following of tables go to large hosts; lists of hosts are sent at most each 0.2 s.

--- a/src/oriolearch/adapters/host_links.py
+++ b/src/oriolearch/adapters/host_links.py
@@ -35,6 +35,8 @@
     def send(self, message: Message) -> None:
         """Send a message without waiting."""
         transport = self.writer.transport
+        if transport.is_closing():
+            return
         if transport.get_write_buffer_size() > UNSENT_BYTES:
             self.close()
             return
--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -27,6 +27,7 @@
     GrantPort,
     Leadership,
     LeaderRow,
+    Member,
     decode_leader,
     decode_ranges,
     read_owners,
@@ -44,7 +45,8 @@
 SILENCE_S = 1.0  # without a beat for so long, the coordinator counts as lost
 REPORT_PERIOD_S = 0.2  # counts of keys are sent this often
 RECONNECT_S = 0.1  # a refused connection is tried again after this
-TAKEOVER_SPREAD_S = 0.25  # hosts try one after the other, at random
+TAKEOVER_SPREAD_S = 0.15  # hosts try one after the other, at random
+LONGEST_DELAY_S = 0.8  # of the smallest host before it takes over
 CONSULT_TIMEOUT_S = 0.4  # another host answers at once or not at all
 ISOLATED_S = 8.0  # a host that reaches few others takes over after this
 STORE_POLL_S = 28.0  # wait of a long poll
@@ -62,12 +64,14 @@
 
     :param address: where this host accepts other hosts.
     :param nonce: unique to this run.
+    :param capacity: share of a processor that it has.
     """
 
     host: str
     address: str
     nonce: str
     zone: str
+    capacity: float
 
 
 class Coordination:
@@ -97,6 +101,7 @@
         self.registry = forwarder.registry
         self.relay = relay
         self.zone = identity.zone
+        self.capacity = identity.capacity
         self.log = log
         self.rng = rng
         self.row: LeaderRow | None = None
@@ -279,6 +284,7 @@
                     'kind': 'hello',
                     'address': self.address,
                     'zone': self.zone,
+                    'capacity': self.capacity,
                     'versions': self.relay.versions(),
                 },
             )
@@ -341,10 +347,10 @@
     def _take_hosts(self, message: Message) -> None:
         hosts = message.get('hosts')
         if isinstance(hosts, list):
-            self.take_hosts([str(host) for host in hosts])
+            self.take_hosts({str(host): float(size) for host, size in hosts})
 
-    def take_hosts(self, hosts: list[str]) -> None:
-        """Take the hosts that share the work."""
+    def take_hosts(self, hosts: dict[str, float]) -> None:
+        """Take the hosts that share the work, with their capacity."""
         self.hosts = len(hosts)
         others = [host for host in hosts if host != self.address]
         self.peers = others[:CONSULTED]
@@ -418,7 +424,8 @@
         hello: Message,
     ) -> None:
         address = str(hello['address'])
-        leadership.add_link(link, address, str(hello['zone']))
+        member = Member(address, str(hello['zone']), float(hello['capacity']))
+        leadership.add_link(link, member)
         for table, mirror in self.relay.mirrors.items():
             known = int(hello['versions'].get(table, 0))
             rows = mirror.since(known)
@@ -452,7 +459,9 @@
     async def try_takeover(self, reason: str) -> None:
         """Try to become the coordinator."""
         seen = self.row_version
-        await asyncio.sleep(TAKEOVER_SPREAD_S * self.rng.random())
+        # Large hosts come first: a coordinator tells all others of changes.
+        delay_s = TAKEOVER_SPREAD_S * (0.5 + self.rng.random())
+        await asyncio.sleep(min(delay_s / self.capacity, LONGEST_DELAY_S))
         if self.row_version != seen:
             return
         term = self.row.term + 1 if self.row else 1
@@ -517,6 +526,7 @@
             self.registry,
             self.log,
             self.spawn,
+            Member(self.address, self.zone, self.capacity),
         )
         leadership.confirmed_at = began_at
         leadership.is_predecessor_over = was_ended
--- a/src/oriolearch/core/ownership.py
+++ b/src/oriolearch/core/ownership.py
@@ -11,7 +11,7 @@
 1. ``Store``: the row names the new owner and the previous one, which goes on
    serving meanwhile, so that an outage of the store interrupts nothing;
 2. ``Release`` to the previous owner, which answers once its work has ended;
-3. ``Grant`` to the new owner, with the handover of the previous one.
+3. ``Grant`` to the new owner, with the transfer token of the previous one.
 
 A previous owner that does not answer is waited out: its keys are free when
 the last grant that was sent to it has surely ended. A refused connection is
@@ -33,7 +33,7 @@
 CALLS_AT_ONCE = 2  # grants and releases under way at one upstream
 STORE_DOUBT_S = 0.4  # a write that takes longer may be seen by a successor
 SETTLE_S = 1.2  # a predecessor has stopped renewing what it moved by then
-MOVE_S = 0.2  # a move with a handover takes about as long
+MOVE_S = 0.2  # a move by release and grant takes about as long
 PROBE_PERIOD_S = 0.25  # a silent upstream is asked this often
 LOST_AFTER_S = 0.8  # a silent upstream loses its keys after this
 MERGE_AFTER_S = 1.0  # a move is dropped from the row this long after its end
@@ -47,6 +47,8 @@
     :ivar previous: may still hold the keys; is released first.
     :ivar held_until: end of the latest grant that the owner may have.
     :ivar sent_until: end of the latest grant that this coordinator sent.
+    :ivar transfer_token: what the previous owner gave for the next one, which
+        then has the keys warm.
     :ivar prior_until: ``held_until`` before the grant under way.
     :ivar doubtful_until: end of the latest grant without an answer. It may
         be applied after a release.
@@ -64,7 +66,7 @@
     owner: Incarnation | None
     fence: int
     previous: Incarnation | None = None
-    handover: str | None = None
+    transfer_token: str | None = None
     held_until: float = 0.0
     sent_until: float = 0.0
     prior_until: float = 0.0
@@ -94,7 +96,7 @@
     last: int
     fence: int
     hold_s: float
-    handover: str | None
+    transfer_token: str | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -289,7 +291,7 @@
         if keys.is_held:
             return
         keys.is_held = True
-        keys.handover = None
+        keys.transfer_token = None
         if keys.previous is not None:
             # The row may name a previous owner for longer than needed.
             keys.previous = None
@@ -305,11 +307,13 @@
             keys.due_at = now
             self._change(now, keys)
 
-    def released(self, now: float, call: int, handover: str | None) -> None:
+    def released(
+        self, now: float, call: int, transfer_token: str | None
+    ) -> None:
         """Take the answer to a release: no work runs on the keys."""
         keys = self._end_call(call)
         if keys is not None:
-            keys.handover = handover
+            keys.transfer_token = transfer_token
             keys.free_at = min(keys.free_at, max(now, keys.settled_at))
             keys.due_at = keys.free_at
 
@@ -390,7 +394,7 @@
         keys.fence = keys.planned_fence
         keys.planned = None
         if keys.sent_until:
-            keys.handover = None
+            keys.transfer_token = None
         keys.held_until = 0.0
         keys.sent_until = 0.0
         keys.doubtful_until = 0.0
@@ -412,7 +416,7 @@
             keys.free_at = min(keys.free_at, now)
         if keys.previous is not None and not keys.is_held:
             if now < keys.free_at:
-                if keys.handover is not None:
+                if keys.transfer_token is not None:
                     keys.due_at = keys.free_at
                     return None
                 return self._release(now, keys)
@@ -448,7 +452,7 @@
             keys.last,
             keys.fence,
             self.hold_s,
-            keys.handover,
+            keys.transfer_token,
         )
 
     def _begin_call(self, keys: KeyRange, upstream: Incarnation) -> int:
@@ -493,7 +497,7 @@
                 keys.owner,
                 keys.fence,
                 previous=keys.previous,
-                handover=keys.handover,
+                transfer_token=keys.transfer_token,
                 held_until=keys.held_until,
                 sent_until=keys.sent_until,
                 prior_until=keys.prior_until,
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -71,6 +71,7 @@
 RATE_HALF_LIFE_S = 1.5  # of the counts of a key
 LEAST_RATE = 0.02  # counts below this are forgotten
 BEAT_PERIOD_S = 0.25  # hosts hear from the coordinator this often
+HOSTS_PERIOD_S = 0.2  # many hosts that start are told of in few messages
 WATCHERS = 2  # hosts beside the coordinator that follow the tables
 STUCK_AFTER_S = 2.0  # a coordinator whose writes fail lets others take over
 
@@ -96,6 +97,18 @@
         """Ask an upstream for a sign of life; raises without any."""
 
 
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A host that hears the coordinator.
+
+    :param capacity: share of a processor that it has.
+    """
+
+    address: str
+    zone: str
+    capacity: float
+
+
 @dataclass(frozen=True, slots=True)
 class LeaderRow:
     """The row that names the coordinator.
@@ -199,6 +212,7 @@
         registry: Registry,
         log: EventLog,
         spawn: Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]],
+        own: Member,
     ) -> None:
         self.row = row
         self.row_version = row_version
@@ -213,13 +227,13 @@
         self.pool_versions: dict[str, int] = {}
         self.read_pools: dict[str, StoredRow] = {}
         self.has_read = False
-        self.links: dict[HostLink, str] = {}
+        self.own = own
+        self.links: dict[HostLink, Member] = {}
         self.leaving: set[HostLink] = set()
-        self.zones: dict[HostLink, str] = {}
         self.watchers: list[HostLink] = []
         self.is_own_host_leaving = False
-        self.sent_hosts: list[str] = []
-        self.local_hosts: Callable[[list[str]], None] = _drop_hosts
+        self.sent_hosts: dict[str, float] = {}
+        self.local_hosts: Callable[[dict[str, float]], None] = _drop_hosts
         self.rates: dict[str, dict[int, float]] = {}
         self.works: dict[str, dict[str, float]] = {}
         self.local_changes: Callable[[str, list[OwnedRange], bool], None] = (
@@ -249,7 +263,7 @@
     async def run(self) -> None:
         """Grant, renew and move keys until the term is over."""
         await self._read_pools()
-        rescue_at = balance_at = beat_at = 0.0
+        rescue_at = balance_at = beat_at = hosts_at = 0.0
         while not self.is_over:
             now = lease_clock()
             if now >= rescue_at:
@@ -262,7 +276,9 @@
             if now >= beat_at:
                 beat_at = now + BEAT_PERIOD_S
                 self._beat()
-            self._send_hosts()
+            if now >= hosts_at:
+                hosts_at = now + HOSTS_PERIOD_S
+                self._send_hosts()
             self._step(now)
             self._publish()
             await asyncio.sleep(TICK_S)
@@ -274,11 +290,11 @@
             for effect in ownership.step(now):
                 self._carry_out(pool, ownership, effect)
 
-    def add_link(self, link: HostLink, host: str, zone: str) -> None:
+    def add_link(self, link: HostLink, member: Member) -> None:
         """Take the connection of a host, and tell it all owners."""
-        self.links[link] = host
-        self.zones[link] = zone
-        link.send({**self._beat_message(), 'hosts': self._hosts()})
+        self.links[link] = member
+        hosts = list(self._hosts().items())
+        link.send({**self._beat_message(), 'hosts': hosts})
         for pool, ownership in self.pools.items():
             link.send(
                 _owners_message(pool, ownership.snapshot(lease_clock()), True)
@@ -287,7 +303,6 @@
     def drop_link(self, link: HostLink) -> None:
         """Forget the connection of a host."""
         self.links.pop(link, None)
-        self.zones.pop(link, None)
         self.leaving.discard(link)
         if link in self.watchers:
             self._choose_watchers()
@@ -313,20 +328,28 @@
     def _choose_watchers(self) -> None:
         """Have hosts of other zones follow the tables, if there are any."""
         kept = [link for link in self.watchers if link in self.links]
-        zones = {self.zones[link] for link in kept}
+        zones = {self.own.zone, *(self.links[link].zone for link in kept)}
         others = [
             link
             for link in self.links
             if link not in kept and link not in self.leaving
         ]
-        others.sort(key=lambda link: self.zones[link] in zones)
+        others.sort(key=lambda link: self._watcher_rank(link, zones))
         self.watchers = [*kept, *others][:WATCHERS]
         message = self._watchers_message()
         for link in list(self.links):
             link.send(message)
 
+    def _watcher_rank(
+        self,
+        link: HostLink,
+        zones: set[str],
+    ) -> tuple[bool, float]:
+        member = self.links[link]
+        return member.zone in zones, -member.capacity
+
     def _watchers_message(self) -> dict[str, Any]:
-        addresses = [self.links[link] for link in self.watchers]
+        addresses = [self.links[link].address for link in self.watchers]
         return {**self._beat_message(), 'watchers': addresses}
 
     def set_leaving(self, link: HostLink | None) -> None:
@@ -579,7 +602,7 @@
         sent_at = lease_clock()
         upstream = effect.upstream.ref
         try:
-            handover = await self._order(effect)
+            transfer_token = await self._order(effect)
         except (LinkError, GrantRefusedError) as error:
             self._log_failure(effect, str(error))
             self._take_error(ownership, effect, error)
@@ -588,7 +611,7 @@
             if isinstance(effect, Grant):
                 ownership.granted(lease_clock(), effect.call, sent_at)
             else:
-                ownership.released(lease_clock(), effect.call, handover)
+                ownership.released(lease_clock(), effect.call, transfer_token)
         finally:
             ownership.call_ended(upstream)
 
@@ -616,6 +639,8 @@
         elif error.is_replaced:
             ownership.replaced(now, effect.call, effect.upstream.ref)
         else:
+            # A probe tells whether it is still the same upstream.
+            ownership.silent(now, effect.upstream.ref)
             ownership.unanswered(now, effect.call)
 
     async def _probe(
@@ -677,16 +702,16 @@
             'stuck': self.is_stuck(),
         }
 
-    def _hosts(self) -> list[str]:
-        """Give the addresses of the hosts that share the work."""
+    def _hosts(self) -> dict[str, float]:
+        """Give the hosts that share the work, with their capacity."""
         found = {
-            address
-            for link, address in self.links.items()
+            member.address: member.capacity
+            for link, member in self.links.items()
             if link not in self.leaving
         }
-        if not self.is_own_host_leaving and self.row.address:
-            found.add(self.row.address)
-        return sorted(found)
+        if not self.is_own_host_leaving:
+            found[self.own.address] = self.own.capacity
+        return found
 
     def _send_hosts(self) -> None:
         hosts = self._hosts()
@@ -694,7 +719,7 @@
             return
         self.sent_hosts = hosts
         self.local_hosts(hosts)
-        message = {**self._beat_message(), 'hosts': hosts}
+        message = {**self._beat_message(), 'hosts': list(hosts.items())}
         for link in list(self.links):
             link.send(message)
 
@@ -740,7 +765,7 @@
     """Tell nobody."""
 
 
-def _drop_hosts(hosts: list[str]) -> None:
+def _drop_hosts(hosts: dict[str, float]) -> None:
     """Tell nobody."""
 
 
--- a/src/oriolearch/placing.py
+++ b/src/oriolearch/placing.py
@@ -8,7 +8,7 @@
 import asyncio
 import itertools
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -361,19 +361,21 @@
     def __init__(self, address: str, desk: Desk) -> None:
         self.address = address
         self.desk = desk
-        self.hosts: tuple[str, ...] = (address,)
+        self.hosts: dict[str, float] = {address: 1.0}
+        self.largest: list[str] = [address]
         self.clients: dict[str, DeskClient] = {}
         self.chosen: dict[str, str] = {}
 
-    def set_hosts(self, hosts: Iterable[str]) -> None:
-        """Take the hosts that share the charge."""
-        found = tuple(sorted(hosts))
-        if found == self.hosts or not found:
+    def set_hosts(self, hosts: Mapping[str, float]) -> None:
+        """Take the hosts that share the charge, with their capacity."""
+        if hosts == self.hosts or not hosts:
             return
-        self.hosts = found
+        self.hosts = dict(hosts)
+        most = max(hosts.values())
+        self.largest = [host for host in hosts if hosts[host] >= most]
         self.chosen.clear()
         for address in list(self.clients):
-            if address not in found:
+            if address not in hosts:
                 self.clients.pop(address).close()
 
     def in_charge(self, pool: str, owner: Incarnation | None) -> str:
@@ -381,7 +383,9 @@
         unit = owner.text() if owner else pool
         host = self.chosen.get(unit)
         if host is None:
-            host = max(self.hosts, key=lambda found: _weight(found, unit))
+            # A pool is far more work than one upstream.
+            hosts = self.hosts if owner else self.largest
+            host = max(hosts, key=lambda found: _weight(found, unit))
             self.chosen[unit] = host
         return host
 
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -67,6 +67,7 @@
                 f'{settings.ip}:{settings.peer_port}',
                 f'{os.getpid()}-{self.rng.getrandbits(48):x}',
                 settings.zone,
+                settings.capacity,
             ),
             self.store,
             self.grants,
--- a/src/oriolearch/platform/settings.py
+++ b/src/oriolearch/platform/settings.py
@@ -8,6 +8,7 @@
 
 from oriolearch.core.errors import ValidationError
 
+LEAST_CAPACITY = 0.05  # of a processor, so that delays stay bounded
 METRICS_PORT = 9464  # as in the deploy file; the usual one of exporters
 PATH_VARIABLE = 'ORIOLEARCH_CONFIG'
 
@@ -45,6 +46,7 @@
     :ivar readiness: where the platform asks whether callers may come.
     :ivar peer_port: where other hosts connect.
     :ivar metrics_port: where counters and latencies are served.
+    :ivar capacity: share of a processor, all its cores together.
     :ivar zones: region of each availability zone.
     """
 
@@ -58,6 +60,7 @@
     metrics_port: int
     store: str
     heartbeat_s: float
+    capacity: float
     bounds: Bounds
 
 
@@ -116,10 +119,19 @@
         metrics_port=int(fields.get('metrics_port', METRICS_PORT)),
         store=need('platform.address', str),
         heartbeat_s=float(fields.get('heartbeat_s', 1)),
+        capacity=_read_capacity(fields.get('limits', {})),
         bounds=_read_bounds(source, fields.get('bounds', {})),
     )
 
 
+def _read_capacity(limits: dict[str, Any]) -> float:
+    share = limits.get('cpu_share', 1)
+    cores = limits.get('cores', 1)
+    if not isinstance(share, (int, float)) or not isinstance(cores, int):
+        return 1.0
+    return max(share * cores, LEAST_CAPACITY)
+
+
 def _read_bounds(source: str, fields: dict[str, Any]) -> Bounds:
     found: dict[str, float] = {}
     for ours, theirs in _BOUND_NAMES.items():
--- a/src/oriolearch/platform/wire.py
+++ b/src/oriolearch/platform/wire.py
@@ -19,6 +19,7 @@
 SIGNATURE = b'server-signature'
 EXPECTED_NAME = b'target-instance'
 LOAD = b'server-load'
+INSTANCE = b'instance-id'
 NOT_RUN = b'not-executed'
 COLD_MS = b'warmup-ms'
 KEY = b'shard-key'
@@ -110,11 +111,10 @@
             'fence': call.fence,
             'hold_s': call.hold_s,
         }
-        if call.handover is not None:
-            body['handover'] = call.handover
+        if call.transfer_token is not None:
+            body['handover'] = call.transfer_token
         answer = await self._post(call.upstream, '/grant', body, CALL_TIMEOUT_S)
-        if answer.status != 200:
-            raise GrantRefusedError(call.upstream.address, answer.status)
+        _check(call.upstream, answer)
 
     async def release(self, call: Release) -> str | None:
         """Take keys back; answers when the work on them has ended.
@@ -130,8 +130,7 @@
             body,
             RELEASE_TIMEOUT_S,
         )
-        if answer.status != 200:
-            raise GrantRefusedError(call.upstream.address, answer.status)
+        _check(call.upstream, answer)
         handover = answer.header(HANDOVER)
         return handover.decode('latin-1') if handover else None
 
@@ -150,8 +149,8 @@
             head.encode(),
             CALL_TIMEOUT_S,
         )
-        if answer.status == MISDIRECTED:
-            raise GrantRefusedError(call.upstream.address, answer.status)
+        if _is_another(call.upstream, answer):
+            raise GrantRefusedError(call.upstream.address, MISDIRECTED)
 
     def _pool(self, upstream: UpstreamEntry) -> LinkPool:
         pool = self.pools.get(upstream.address)
@@ -178,6 +177,25 @@
         return await pool.exchange(head.encode() + content, timeout_s)
 
 
+def _check(upstream: UpstreamEntry, answer: Answer) -> None:
+    """Raise :class:`GrantRefusedError` unless a call was carried out.
+
+    A server of another service at the address does not know the call and
+    answers 400; only its name tells that it is another one.
+    """
+    if _is_another(upstream, answer):
+        raise GrantRefusedError(upstream.address, MISDIRECTED)
+    if answer.status != 200:
+        raise GrantRefusedError(upstream.address, answer.status)
+
+
+def _is_another(upstream: UpstreamEntry, answer: Answer) -> bool:
+    if answer.status == MISDIRECTED:
+        return True
+    name = answer.header(INSTANCE)
+    return name is not None and name.decode('latin-1') != upstream.ref.name
+
+
 def _host_of(request: IncomingRequest) -> str:
     host = (request.header(b'host') or b'').decode('latin-1').lower()
     return host.partition(':')[0]
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -185,6 +185,7 @@
     """A server that runs requests for keys that it was granted.
 
     :ivar ran: ids of the requests that it ran.
+    :ivar is_plain: it is of a service without keys and knows no grants.
     """
 
     def __init__(self, name: str, zone: str = 'z1') -> None:
@@ -194,6 +195,7 @@
         self.grants: dict[int, tuple[int, int, float]] = {}
         self.fences: list[tuple[int, int, int]] = []
         self.ran: list[str] = []
+        self.is_plain = False
         self.loop = asyncio.get_running_loop()
 
     async def listen(self) -> None:
@@ -226,6 +228,10 @@
         headers: Headers,
         body: bytes,
     ) -> Answer:
+        if self.is_plain and target in {'/grant', '/release'}:
+            return 400, {}, b''
+        if target == '/health':
+            return 200, {'Instance-Id': self.name}, b''
         if headers.get('target-instance', self.name) != self.name:
             return 421, {'Instance-Id': self.name, 'Not-Executed': '1'}, b''
         if target == '/grant':
--- a/tests/test_key_ownership.py
+++ b/tests/test_key_ownership.py
@@ -99,7 +99,7 @@
         if isinstance(effect, Grant):
             self.ownership.granted(self.now, effect.call, self.now)
         else:
-            self.ownership.released(self.now, effect.call, 'handover-1')
+            self.ownership.released(self.now, effect.call, 'token-1')
         self.ownership.call_ended(ref)
 
     def owner(self, key: int) -> Incarnation | None:
@@ -124,7 +124,7 @@
 
 
 def test_move_releases_and_hands_over() -> None:
-    """A move without release or handover: two owners, or slow keys."""
+    """A move without release or transfer token: two owners, or slow keys."""
     fleet = started(A, B)
     assert fleet.ownership.move(fleet.now, 0, 99, B)
     seen: list[Effect] = []
@@ -142,7 +142,7 @@
     assert [type(effect) for effect in seen] == [Store, Release, Grant]
     grant = seen[-1]
     assert isinstance(grant, Grant)
-    assert grant.handover == 'handover-1'
+    assert grant.transfer_token == 'token-1'
     assert fleet.owner(50) == B
     assert fleet.owner(100) == A
 
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -21,6 +21,7 @@
     'not-executed',
     'shard-key',
     'warmup-ms',
+    'instance-id',
     'expected_revision',
     'warmup_left_s',
     'warmup_per_s',
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -282,6 +282,33 @@
     play(scene)
 
 
+def test_address_is_taken_by_a_server_of_another_service() -> None:
+    """Keys that wait for a server whose address belongs to a stranger.
+
+    Seen on vdp-gateway-grown: the stranger answered releases with 400 and
+    probes with 200, and 10,000 requests found no owner in 12 seconds.
+    """
+
+    async def scene(installation: Installation) -> None:
+        await asyncio.sleep(0.5)
+        gone = installation.servers[0]
+        old_name = gone.name
+        gone.grants.clear()
+        gone.name = 'i-stranger'
+        gone.is_plain = True
+        leadership = leader_of(installation).coordination.leadership
+        assert leadership is not None
+        async with asyncio.timeout(2.5):
+            while not any(
+                ref.name == old_name for ref in leadership.pools['orders'].ended
+            ):
+                await asyncio.sleep(0.05)
+        installation.store.remove('servers', old_name)
+        await installation.serves_all()
+
+    play(scene)
+
+
 def test_outage_of_the_store() -> None:
     """Keys that lapse because the store cannot be asked."""
 
