--- a/src/oriolearch/adapters/caller_links.py
+++ b/src/oriolearch/adapters/caller_links.py
@@ -104,6 +104,8 @@
         self.chunks: list[bytes] = []
         self.size = 0
         self.header_size = 0
+        self.unparsed_size = 0
+        self.has_head = False
         self.task: asyncio.Task[None] | None = None
         self.backlog: list[bytes] = []
         self.is_reading = False
@@ -146,6 +148,10 @@
             return
         self.active_at = asyncio.get_running_loop().time()
         self._feed(data)
+        if self.is_reading and not self.has_head:
+            # The parser holds an unfinished header, of any length.
+            self.unparsed_size += len(data)
+            self._check_header_size()
 
     def on_message_begin(self) -> None:
         """Begin a request."""
@@ -156,6 +162,8 @@
         self.chunks = []
         self.size = 0
         self.header_size = 0
+        self.unparsed_size = 0
+        self.has_head = False
 
     def on_url(self, target: bytes) -> None:
         """Take a part of the target."""
@@ -177,6 +185,7 @@
         """Check the head and ask for the body if the caller waits."""
         if self._is_surplus():
             return
+        self.has_head = True
         request = self.request
         request.method = self.parser.get_method()
         self.is_last = not self.parser.should_keep_alive()
@@ -235,7 +244,8 @@
         return True
 
     def _check_header_size(self) -> None:
-        if self.header_size > self.gate.limits.header_bytes:
+        size = max(self.header_size, self.unparsed_size)
+        if size > self.gate.limits.header_bytes:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def _refuse(self, status: int) -> None:
