--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -155,7 +155,7 @@
         self.server = await listen(host, int(port), self._serve_peer)
 
     def close(self) -> None:
-        """Cancel all tasks and close all connections, without handover."""
+        """Cancel all tasks and close all connections; hand nothing over."""
         self._end_term('the host ends')
         for task in list(self.tasks):
             task.cancel()
--- a/src/oriolearch/core/directory.py
+++ b/src/oriolearch/core/directory.py
@@ -59,7 +59,8 @@
     :param connections: connections that an upstream accepts from all hosts.
     :param cold_start_s: how long an upstream stays cold after its start.
     :param cold_rate: requests per second that a cold upstream bears.
-    :param key_warm_s: how long keys that arrive without a handover are slow.
+    :param key_warm_s: how long keys are slow that arrive without a transfer
+        token.
     """
 
     name: str
