Take test ports from below the range of outgoing connections

It came from the kernel's range for outgoing connections, from which another process took it.

Ruled out: two hosts of one test on one port (each port is chosen once).

Change: ports below that range, each given once in a process.

--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import os
 import socket
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -59,10 +60,21 @@
 }
 
 
+# Below the range from which the kernel takes ports of outgoing connections;
+# one of those took a port between its choice and its use.
+PORTS = iter(range(20000 + os.getpid() % 1000 * 11, 32000))
+
+
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return int(probe.getsockname()[1])
+    """Give a port that nobody listens on; each is given once."""
+    for port in PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError('no free port is left')
 
 
 def settings(store: str, host: str = 'h1', zone: str = 'z1') -> dict[str, Any]:
