Keep slots busy at upstreams that shed at random; move fewer cold keys

A server that refuses with a free slot gets no pause now.

A move took the upper end of a range up to the hot keys, and all cold keys between. Both ends are considered now, the one with fewer keys first.

Second sends that hosts may save up are bounded by the platform's slack over the number of hosts: 3 a host would be 900 at 300 hosts against a slack of some 200. The earned share goes from 0.7 to 0.85 of the limit for it.

--- a/src/oriolearch/core/balance.py
+++ b/src/oriolearch/core/balance.py
@@ -18,6 +18,7 @@
 OVERLOAD = 1.25  # of the mean load, from which an upstream gives keys away
 SIGNIFICANT = 2.5  # standard deviations of the estimate that chance explains
 LEAST_GAIN = 0.08  # of the mean load, that a move must bring
+RATE_TOLERANCE = 0.2  # of a wanted rate, within which parts count as equal
 MOVES_AT_ONCE = 24  # of one plan; the next plan sees their effect
 COLD_SHARE = 0.3  # of its weight, that a cold upstream is given
 
@@ -50,6 +51,32 @@
     last: int
 
 
+@dataclass(frozen=True, slots=True)
+class Part:
+    """One end of a range, with the requests per second of its keys."""
+
+    whole: Span
+    span: Span
+    rate: float
+
+    def rank(self, wanted: float) -> tuple[int, int]:
+        """Give the order in which parts are preferred.
+
+        Among parts with about the wanted rate the one with the fewest keys
+        comes first: keys that nobody asks for are not to change hands.
+        """
+        missed = abs(self.rate - wanted) / wanted
+        return int(missed / RATE_TOLERANCE), self.span.last - self.span.first
+
+    def rest(self) -> Span | None:
+        """Give what is left of the range."""
+        if self.span == self.whole:
+            return None
+        if self.span.first > self.whole.first:
+            return Span(self.whole.first, self.span.first - 1)
+        return Span(self.span.last + 1, self.whole.last)
+
+
 class KeyRates:
     """Requests per second of keys, summed over ranges of keys.
 
@@ -75,24 +102,32 @@
         busy = self.sums[end] - self.sums[start]
         return busy + (last - first + 1) * self.base
 
-    def cut(self, keys: Span, wanted: float) -> tuple[int, float]:
-        """Find where the end of a range has about a wanted rate.
-
-        :returns: the first key of that end, and its rate.
-        """
-        first = min(keys.first + 1, keys.last)
-        last = keys.last
-        while first < last:
-            middle = (first + last) // 2
-            if self.between(middle, keys.last) > wanted:
-                first = middle + 1
-            else:
-                last = middle
-        above = max(first - 1, keys.first)
-        choices = (
-            (key, self.between(key, keys.last)) for key in (first, above)
+    def cut(self, keys: Span, wanted: float) -> list[Part]:
+        """Find parts at both ends of a range with about a wanted rate."""
+        rest = self.between(keys.first, keys.last) - wanted
+        lower = self._reach(keys, wanted)
+        upper = self._reach(keys, rest)
+        spans = (
+            Span(keys.first, lower - 1),
+            Span(keys.first, lower),
+            Span(upper, keys.last),
+            Span(upper + 1, keys.last),
+        )
+        return [
+            Part(keys, span, self.between(span.first, span.last))
+            for span in spans
+            if span.first <= span.last
+            and span.first >= keys.first
+            and span.last <= keys.last
+        ]
+
+    def _reach(self, keys: Span, wanted: float) -> int:
+        """Find the key at which the rate from the start is a wanted one."""
+        return keys.first + bisect_left(
+            range(keys.first, keys.last),
+            wanted,
+            key=lambda key: self.between(keys.first, key),
         )
-        return min(choices, key=lambda choice: abs(choice[1] - wanted))
 
 
 def plan_rescue(
@@ -181,32 +216,31 @@
         part = self._part_of(busiest, min(excess, room))
         if part is None:
             return False
-        keys, first, rate = part
+        rate = part.rate
         is_small = rate < LEAST_GAIN * self.mean * self.weights[idlest]
         if is_small or rate > excess + room:
             return False
-        self.movable[busiest].remove(keys)
-        if first > keys.first:
+        self.movable[busiest].remove(part.whole)
+        rest = part.rest()
+        if rest is not None:
             # What is left can be cut again, so that keys that are hot side by
             # side go to several upstreams at once.
-            self.movable[busiest].append(Span(keys.first, first - 1))
-        self.moves.append(Move(first, keys.last, idlest))
+            self.movable[busiest].append(rest)
+        self.moves.append(Move(part.span.first, part.span.last, idlest))
         self.loads[busiest] -= rate
         self.loads[idlest] += rate
         return True
 
-    def _part_of(
-        self,
-        owner: Incarnation,
-        wanted: float,
-    ) -> tuple[Span, int, float] | None:
+    def _part_of(self, owner: Incarnation, wanted: float) -> Part | None:
         """Find neighbouring keys of an owner with about a wanted rate."""
-        best: tuple[Span, int, float] | None = None
-        for keys in self.movable.get(owner, ()):
-            first, rate = self.rates.cut(keys, wanted)
-            if best is None or abs(rate - wanted) < abs(best[2] - wanted):
-                best = (keys, first, rate)
-        return best
+        if wanted <= 0:
+            return None
+        parts = (
+            part
+            for keys in self.movable.get(owner, ())
+            for part in self.rates.cut(keys, wanted)
+        )
+        return min(parts, key=lambda part: part.rank(wanted), default=None)
 
 
 def _loads(
--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -222,10 +222,16 @@
         lane.reported_at = now
         lane.own_at_report = max(len(lane.running) - 1, 0)
 
-    def shed(self, now: float, lane: Lane) -> None:
-        """Take a refusal of an upstream that has no room."""
+    def shed(self, now: float, lane: Lane, reported: int | None) -> None:
+        """Take a refusal of an upstream.
+
+        One that refuses though it reports a free slot is in trouble, not
+        full. It goes on with the requests that it does take, and a pause
+        would only leave its slots empty.
+        """
         lane.heard_at = now
-        lane.paused_until = now + SHED_PAUSE_S
+        if reported is None or reported >= lane.entry.slots:
+            lane.paused_until = now + SHED_PAUSE_S
 
     def failed(self, now: float, lane: Lane) -> None:
         """Take a failure that may show an upstream in trouble."""
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -172,7 +172,7 @@
     SETTINGS_READ = EventKind(
         405,
         logging.INFO,
-        ('retry_share', 'cold_burst'),
+        ('retry_share', 'retry_burst', 'cold_burst'),
         'The settings file was read again.',
     )
     SETTINGS_REJECTED = EventKind(
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -47,6 +47,9 @@
 OWNER_LOST_RETRY_S = 1.0  # a lost owner is replaced within some seconds
 NO_BUDGET_RETRY_S = 0.2  # second sends are earned by then
 RETRY_BURST = 3.0  # second sends that a host may save up
+# Share of the second sends allowed beside those earned that all hosts
+# together may save up. The rest covers hosts that start with a full budget.
+RETRY_SLACK_SHARE = 0.6
 # An upstream may forget an idle connection without a sign. What is sent on it
 # is reset, and a request that may run only once cannot be sent again.
 LONGEST_IDLE_ONCE_S = 0.5
@@ -162,19 +165,29 @@
         self.count_key: Callable[[str, int], None] = _ignore
         self.latencies = Latencies()
         self.retry_share = 0.0
+        self.retry_burst = 1.0
         self.cold_burst = 1.0
         registry.listeners.append(self.refresh)
 
-    def set_limits(self, retry_share: float, cold_burst: float) -> None:
+    def set_limits(
+        self,
+        retry_share: float,
+        retry_slack: float,
+        cold_burst: float,
+    ) -> None:
         """Set limits that the platform's bounds give.
 
         :param retry_share: second sends of this host for each request.
+        :param retry_slack: second sends of all hosts beside these.
         :param cold_burst: requests that a cold upstream may get at once.
         """
+        saved = retry_slack * RETRY_SLACK_SHARE / len(self.places.hosts)
         self.retry_share = retry_share
+        self.retry_burst = min(max(saved, 1.0), RETRY_BURST)
         self.cold_burst = cold_burst
         for budget in self.retries.values():
             budget.share = retry_share
+            budget.burst = self.retry_burst
         for dispatcher in self.desk.dispatchers.values():
             dispatcher.cold_burst = cold_burst
 
@@ -219,8 +232,8 @@
                 self.desk.dispatchers[plan.name] = dispatcher
                 self.retries[plan.name] = Budget(
                     self.retry_share,
-                    RETRY_BURST,
-                    RETRY_BURST,
+                    self.retry_burst,
+                    self.retry_burst,
                 )
             dispatcher.plan = plan
             dispatcher.set_upstreams(
--- a/src/oriolearch/placing.py
+++ b/src/oriolearch/placing.py
@@ -136,7 +136,7 @@
         if ending.kind is EndKind.ANSWERED:
             dispatcher.answered(now, lane, ending.took_s)
         elif ending.kind is EndKind.SHED:
-            dispatcher.shed(now, lane)
+            dispatcher.shed(now, lane, ending.load)
         elif ending.kind is EndKind.FAILED:
             dispatcher.failed(now, lane)
 
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -31,7 +31,7 @@
 BACKLOG = 512  # connections that wait to be accepted
 STOP_POLL_S = 0.05  # a stopping host looks this often whether it is idle
 STOP_MARGIN_S = 0.5  # before the platform's SIGKILL
-RETRY_SAFETY = 0.7  # share of the common retry budget that is used
+RETRY_SAFETY = 0.85  # share of the common retry budget that is used
 COLD_SAFETY = 0.5  # share of a cold upstream's slack that is used at once
 GC_THRESHOLD = 2000  # allocations; cycles are rare on the request path
 
@@ -179,6 +179,7 @@
         bounds = self.settings.bounds
         self.forwarder.set_limits(
             bounds.retry_share * RETRY_SAFETY,
+            bounds.retry_slack,
             max(bounds.cold_slack * COLD_SAFETY, 1.0),
         )
 
@@ -193,6 +194,7 @@
         self.log.emit(
             Event.SETTINGS_READ,
             retry_share=self.forwarder.retry_share,
+            retry_burst=self.forwarder.retry_burst,
             cold_burst=self.forwarder.cold_burst,
         )
 
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -233,15 +233,29 @@
     assert waiter.place.entry.zone == zone
 
 
-def test_upstream_that_shed_rests() -> None:
+@pytest.mark.parametrize('reported', [None, 2, 5])
+def test_upstream_that_shed_rests(reported: int | None) -> None:
     """A second send at once to an upstream that has just refused."""
     made = dispatcher(entry(A), entry(B))
     lane = made.lanes[A]
-    made.shed(0.0, lane)
+    made.shed(0.0, lane, reported)
     assert lane.room(SHED_PAUSE_S / 2) == 0
     assert lane.room(SHED_PAUSE_S * 1.1) == PLACES
 
 
+@pytest.mark.parametrize('reported', [0, 1])
+def test_upstream_that_sheds_with_free_slots_goes_on(reported: int) -> None:
+    """Slots that stay empty at an upstream which refuses at random.
+
+    Load pattern: `srv_grey` shed, where all upstreams of a pool refuse half
+    of their requests, whatever their load.
+    """
+    made = dispatcher(entry(A))
+    lane = made.lanes[A]
+    made.shed(0.0, lane, reported)
+    assert lane.room(0.0) == PLACES
+
+
 def test_load_of_other_hosts_counts() -> None:
     """An upstream that is filled twice while hosts do not hear each other."""
     made = dispatcher(entry(A))
--- a/tests/test_key_ownership.py
+++ b/tests/test_key_ownership.py
@@ -497,6 +497,22 @@
     assert max(loads.values()) < 2 * sum(loads.values()) / len(loads)
 
 
+@pytest.mark.parametrize('first', [0, 20000])
+def test_few_cold_keys_move_with_hot_ones(first: int) -> None:
+    """Keys that nobody asks for and that change hands with hot neighbours.
+
+    Load pattern: a block of hot keys at the low end of its owner's range;
+    two thirds of all keys moved on a calm day of the grown sites.
+    """
+    ranges = held(even_ranges([A, B, C]))
+    rates = dict.fromkeys(range(first, first + 40), 3.0)
+    seats = [Seat(ref, 1.0) for ref in (A, B, C)]
+    moves = plan_balance(ranges, seats, KeyRates(rates, 0.2))
+    moved = sum(move.last - move.first + 1 for move in moves)
+    assert moves
+    assert moved < KEY_COUNT / 10
+
+
 def test_rescue_leaves_no_keys_at_unusable_upstreams() -> None:
     """Keys that stay with an upstream that is out of service."""
     ranges = held(even_ranges([A, B, C]))
