Spend less processor time on signs of life and on owner maps

Each of 61 connections of other hosts had a timer that fired ten times a second, and each change of owners copied all 425 ranges. One timer serves all connections now, and a change replaces only the ranges that it touches.

--- a/src/oriolearch/core/keyranges.py
+++ b/src/oriolearch/core/keyranges.py
@@ -36,29 +36,23 @@
     def update(self, changes: Iterable[OwnedRange]) -> None:
         """Lay changed ranges over the known ones."""
         for change in changes:
-            self.ranges = list(_overlay(self.ranges, change))
-        self.starts = [found.first for found in self.ranges]
+            self._lay(change)
 
     def reset(self, ranges: Iterable[OwnedRange]) -> None:
         """Replace everything that is known."""
         self.ranges = [OwnedRange(0, KEY_COUNT - 1, None)]
+        self.starts = [0]
         self.update(ranges)
 
-
-def _overlay(
-    ranges: Iterable[OwnedRange],
-    change: OwnedRange,
-) -> Iterable[OwnedRange]:
-    is_placed = False
-    for known in ranges:
-        if known.last < change.first:
-            yield known
-            continue
-        if known.first < change.first:
-            yield replace(known, last=change.first - 1)
-        if not is_placed:
-            yield change
-            is_placed = True
-        if known.last > change.last:
-            first = max(known.first, change.last + 1)
-            yield replace(known, first=first)
+    def _lay(self, change: OwnedRange) -> None:
+        low = bisect_right(self.starts, change.first) - 1
+        high = bisect_right(self.starts, change.last) - 1
+        before = self.ranges[low]
+        after = self.ranges[high]
+        pieces = [change]
+        if before.first < change.first:
+            pieces.insert(0, replace(before, last=change.first - 1))
+        if after.last > change.last:
+            pieces.append(replace(after, first=change.last + 1))
+        self.ranges[low : high + 1] = pieces
+        self.starts[low : high + 1] = [piece.first for piece in pieces]
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -250,6 +250,7 @@
         while True:
             await asyncio.sleep(RECHECK_S)
             self.desk.wake()
+            self.desk.beat()
             self.places.check()
 
     def sweep(self) -> None:
--- a/src/oriolearch/placing.py
+++ b/src/oriolearch/placing.py
@@ -80,6 +80,8 @@
         self.dispatchers: dict[str, Dispatcher] = {}
         self.settlers: dict[Waiter, Settle] = {}
         self.note_cold: Callable[[Incarnation, float], None] = _ignore_cold
+        self.servers: set[DeskServer] = set()
+        self.beat_at = 0.0
 
     def submit(self, pool: str, waiter: Waiter, settle: Settle) -> None:
         """Ask for a place; ``settle`` is called with the outcome.
@@ -122,6 +124,14 @@
         for dispatcher in self.dispatchers.values():
             self._grant(dispatcher)
 
+    def beat(self) -> None:
+        """Give a sign of life to hosts that wait for a place."""
+        now = _now()
+        if now >= self.beat_at:
+            self.beat_at = now + BEAT_PERIOD_S
+            for server in self.servers:
+                server.beat()
+
     def _learn(
         self,
         dispatcher: Dispatcher,
@@ -162,20 +172,19 @@
 
         :raises PeerError: when the connection ends.
         """
-        beats = asyncio.get_running_loop().create_task(self._beat())
+        self.desk.servers.add(self)
         try:
             while True:
                 self._take(await self.link.receive(None))
         finally:
-            beats.cancel()
+            self.desk.servers.discard(self)
             for pool, waiter in self.held.values():
                 self.desk.withdraw(pool, waiter)
 
-    async def _beat(self) -> None:
-        while True:
-            await asyncio.sleep(BEAT_PERIOD_S)
-            if any(waiter.place is None for _, waiter in self.held.values()):
-                self.link.send({'kind': 'beat'})
+    def beat(self) -> None:
+        """Give a sign of life if a request waits."""
+        if any(waiter.place is None for _, waiter in self.held.values()):
+            self.link.send({'kind': 'beat'})
 
     def _take(self, message: Message) -> None:
         number = int(message['id'])
