Have three hosts vouch for the coordinator; leave no gap when it stops

The answer to its resignation was lost, which ended its term, and nobody could take over for seven seconds: 268 of 320 requests refused in each two seconds. A stopping coordinator now says in its row that it leaves, and acts until another host has taken over.

Three hosts, named in a row of the store, now vouch for the coordinator each quarter of a second; a successor has two of them promise to stop and knows the end 2.5 s after its takeover. Without witnesses the old 12 s hold. Ruled out: a shorter authority alone, which would interrupt all keys in an outage of the store longer than that.

The test with a store that closes connections fails on the code before.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from oriolearch.adapters.host_links import HostLink, Message, connect, listen
@@ -17,10 +17,10 @@
     PlatformError,
 )
 from oriolearch.core.keyranges import OwnedRange
+from oriolearch.core.witnesses import Promise
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.forwarding import Forwarder
 from oriolearch.leadership import (
-    AUTHORITY_S,
     LEADER_ROW,
     LEADER_TABLE,
     OWNER_TABLE,
@@ -40,6 +40,7 @@
     encode_rows,
     forward_nowhere,
 )
+from oriolearch.succession import Succession, ask
 
 CONSULTED = 8  # other hosts that are asked before a takeover
 SILENCE_S = 1.0  # without a beat for so long, the coordinator counts as lost
@@ -47,13 +48,13 @@
 RECONNECT_S = 0.1  # a refused connection is tried again after this
 TAKEOVER_SPREAD_S = 0.15  # hosts try one after the other, at random
 LONGEST_DELAY_S = 0.8  # of the smallest host before it takes over
-CONSULT_TIMEOUT_S = 0.4  # another host answers at once or not at all
+ANSWERED_S = 0.4  # a link stays open until its answer was read
 ISOLATED_S = 8.0  # a host that reaches few others takes over after this
 STORE_POLL_S = 28.0  # wait of a long poll
-LEADER_POLL_S = 4.0  # of the coordinator, whose authority each answer extends
+LEADER_POLL_S = 4.0  # of the coordinator, whose authority it extends
+CONFIRM_PERIOD_S = 0.4  # a coordinator looks at its authority this often
 RETRY_S = 0.25  # after a failed call of the store
 LONGEST_PAUSE_S = 1.5  # between takeovers that the store does not answer
-END_PERIOD_S = 0.3  # a predecessor's host is asked this often
 HELP_PERIOD_S = 1.5  # between takeovers from one that cannot write
 OWNERS_PERIOD_S = 1.0  # owners are read from the store at most this often
 
@@ -118,6 +119,7 @@
         self.help_at = float('-inf')
         self.store_pause_s = RETRY_S
         self.is_stopping = False
+        self.promise = Promise()
         self.server: asyncio.Server | None = None
         self.peer_links: set[HostLink] = set()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -189,15 +191,35 @@
         self._take_rows(state)
         self.is_row_known = True
         if self.leadership is not None:
-            self.leadership.confirm(sent_at)
+            self.leadership.authority.confirm(sent_at)
         return state.version
 
+    async def _confirm(self, leadership: Leadership) -> None:
+        """Ask the store while the witnesses do not vouch."""
+        while not leadership.is_over:
+            await asyncio.sleep(CONFIRM_PERIOD_S)
+            asked_at = lease_clock()
+            if not leadership.authority.needs_store(asked_at):
+                continue
+            try:
+                state = await self.store.read(LEADER_TABLE)
+            except PlatformError:
+                # The watches of the platform's tables report the outage.
+                continue
+            self._take_rows(state)
+            if self.leadership is leadership:
+                leadership.authority.confirm(asked_at)
+
     def _take_rows(self, state: TableState) -> None:
         for row in state.rows:
             if row.key == LEADER_ROW.key and row.version > self.row_version:
                 self._take_row(row)
         leadership = self.leadership
-        if leadership and leadership.row_version < self.row_version:
+        if leadership is None or leadership.row_version >= self.row_version:
+            return
+        if self.row is not None and self.row.is_same_term(leadership.row):
+            leadership.row_version = self.row_version
+        else:
             self._end_term('another host took over')
 
     def _take_row(self, row: StoredRow) -> None:
@@ -223,12 +245,25 @@
                 await asyncio.sleep(RECONNECT_S)
 
     async def _find_coordinator(self, row: LeaderRow | None) -> None:
-        if row is None or row.address is None:
-            await self.try_takeover('no coordinator')
-        elif row.address == self.address and row.nonce != self.nonce:
-            await self.try_takeover('an earlier run of this host led')
-        else:
+        reason = self._reason_to_lead(row)
+        if row is not None and not reason:
             await self._hear_until_lost(row)
+        elif self.is_stopping:
+            # A host that goes on takes over.
+            await asyncio.sleep(RETRY_S)
+        else:
+            await self.try_takeover(reason)
+
+    def _reason_to_lead(self, row: LeaderRow | None) -> str:
+        """Tell why this host should lead, as far as the row tells."""
+        if row is None:
+            return 'no coordinator'
+        if row.nonce == self.nonce:
+            return ''
+        if row.is_leaving:
+            return 'the coordinator stops'
+        is_own = row.address == self.address
+        return 'an earlier run of this host led' if is_own else ''
 
     async def _hear_until_lost(self, row: LeaderRow) -> None:
         reason = await self._hear(row)
@@ -268,7 +303,7 @@
         if peer == self.address:
             return False
         try:
-            answer = await _ask(peer)
+            answer = await ask(peer, {'kind': 'ask'})
         except PeerRefusedError:
             return False
         except PeerError:
@@ -278,7 +313,7 @@
     async def _hear(self, row: LeaderRow) -> str:
         """Stay connected to the coordinator; give why that ended."""
         try:
-            link = await connect(row.address or '')
+            link = await connect(row.address)
         except PeerError as error:
             return error.reason
         reporter = self.spawn(self._report(link))
@@ -289,6 +324,7 @@
                     'address': self.address,
                     'zone': self.zone,
                     'capacity': self.capacity,
+                    'run': self.nonce,
                     'versions': self.relay.versions(),
                 },
             )
@@ -296,6 +332,7 @@
                 message = await link.receive(SILENCE_S)
                 self._take_message(row, message)
                 self._feed(link, message)
+                self._vouch(link, message)
         except (PeerError, ValueError) as error:
             return str(error)
         finally:
@@ -341,6 +378,13 @@
             self.relay.set_fed(False)
             self.relay.forward = _forward_to(link)
 
+    def _vouch(self, link: HostLink, message: Message) -> None:
+        """Vouch for the coordinator, as one of its witnesses."""
+        if message.get('kind') != 'vouch':
+            return
+        if self.promise.may_vouch(int(message['term'])):
+            link.send({'kind': 'vouch', 'at': message['at']})
+
     def _help_out(self) -> None:
         """Try to take over from a coordinator that cannot write."""
         now = lease_clock()
@@ -403,7 +447,8 @@
 
     async def _serve_first(self, link: HostLink, first: Message) -> None:
         kind = first.get('kind')
-        if kind == 'ask':
+        if kind in {'ask', 'promise'}:
+            self.promise.withhold(int(first.get('term', 0)))
             leadership = self.leadership
             link.send(
                 {
@@ -411,9 +456,10 @@
                     'hears': self._hears(),
                     'leads': leadership.row.term if leadership else 0,
                     'nonce': self.nonce,
+                    'promised': self.promise.term,
                 },
             )
-            await asyncio.sleep(CONSULT_TIMEOUT_S)
+            await asyncio.sleep(ANSWERED_S)
         elif kind == 'places':
             await DeskServer(self.forwarder.desk, link).run()
         elif kind == 'lead':
@@ -428,7 +474,12 @@
         hello: Message,
     ) -> None:
         address = str(hello['address'])
-        member = Member(address, str(hello['zone']), float(hello['capacity']))
+        member = Member(
+            address,
+            str(hello['zone']),
+            float(hello['capacity']),
+            str(hello['run']),
+        )
         leadership.add_link(link, member)
         for table, mirror in self.relay.mirrors.items():
             known = int(hello['versions'].get(table, 0))
@@ -441,6 +492,10 @@
                 if report['kind'] == 'rows':
                     self.relay.told(report)
                     continue
+                if report['kind'] == 'vouch':
+                    at = float(report['at'])
+                    leadership.authority.vouched(member.run, at)
+                    continue
                 if report.get('leaving'):
                     leadership.set_leaving(link)
                 self._take_report(leadership, report)
@@ -469,7 +524,6 @@
         if self.row_version != seen:
             return
         term = self.row.term + 1 if self.row else 1
-        was_ended = self.row is None or self.row.address is None
         row = LeaderRow(self.host, self.address, term, self.nonce)
         outcome = 'won'
         began_at = lease_clock()
@@ -492,7 +546,7 @@
         )
         if outcome == 'won':
             self.store_pause_s = RETRY_S
-            self._begin_term(row, version, began_at, was_ended)
+            self._begin_term(row, version, began_at)
         else:
             await self._learn_row(row, began_at)
 
@@ -508,14 +562,13 @@
         self.store_pause_s = RETRY_S
         self._take_rows(state)
         if self.row == attempted and self.leadership is None:
-            self._begin_term(attempted, self.row_version, began_at, False)
+            self._begin_term(attempted, self.row_version, began_at)
 
     def _begin_term(
         self,
         row: LeaderRow,
         version: int,
         began_at: float,
-        was_ended: bool,
     ) -> None:
         if self.row_version > version:
             return
@@ -530,47 +583,33 @@
             self.registry,
             self.log,
             self.spawn,
-            Member(self.address, self.zone, self.capacity),
+            Member(self.address, self.zone, self.capacity, self.nonce),
         )
-        leadership.confirmed_at = began_at
-        leadership.is_predecessor_over = was_ended
-        if predecessor is not None and not was_ended:
-            self.spawn(self._await_end(leadership, predecessor))
+        leadership.authority.confirm(began_at)
+        if predecessor is None:
+            leadership.limit_predecessor(leadership.began_at)
+        succession = Succession(
+            self.store,
+            leadership,
+            predecessor,
+            self.log,
+        )
+        self.spawn(succession.run())
         leadership.local_changes = self.take_owners
         leadership.local_hosts = self.take_hosts
         leadership.step_down = self._end_term
         self.leadership = leadership
         self.relay.set_fed(False)
         self.relay.forward = leadership.send_rows
-        for address in self.forwarder.places.hosts:
-            if address != self.address:
-                self.spawn(self._announce(address, row, version))
+        told = set(self.forwarder.places.hosts)
+        if predecessor is not None:
+            told.add(predecessor.address)
+        for address in told - {self.address}:
+            self.spawn(self._announce(address, row, version))
         self.spawn(leadership.run())
+        self.spawn(self._confirm(leadership))
         self.spawn(self._report_locally(leadership))
 
-    async def _await_end(
-        self,
-        leadership: Leadership,
-        predecessor: LeaderRow,
-    ) -> None:
-        """Find proof that the predecessor's term is over.
-
-        Its host answers with another run, or does not lead that term.
-        """
-        ends_at = lease_clock() + AUTHORITY_S
-        while not leadership.is_over and lease_clock() < ends_at:
-            try:
-                answer = await _ask(predecessor.address or '')
-            except PeerError:
-                # It may be cut off and still lead: no proof.
-                await asyncio.sleep(END_PERIOD_S)
-                continue
-            is_same_run = answer.get('nonce') == predecessor.nonce
-            if not is_same_run or answer.get('leads') != predecessor.term:
-                leadership.predecessor_ended()
-                return
-            await asyncio.sleep(END_PERIOD_S)
-
     async def _announce(
         self,
         address: str,
@@ -590,7 +629,7 @@
                 'version': version,
             },
         )
-        await asyncio.sleep(CONSULT_TIMEOUT_S)
+        await asyncio.sleep(ANSWERED_S)
         link.close()
 
     def _take_announcement(self, message: Message) -> None:
@@ -646,40 +685,38 @@
             self.take_owners(row.key, owned, True)
 
     async def stop(self) -> None:
-        """Hand over the coordinator's work, once the store takes the word.
+        """Have another host take over, and act until it has.
 
-        While the store is away nobody can take over, so the work goes on.
+        While the store is away nobody can take over, so the work goes on to
+        the end of this host, and grants last a little longer.
         """
         self.is_stopping = True
-        if self.leadership is not None:
-            self.leadership.set_leaving(None)
-        while self.leadership is not None:
-            leadership = self.leadership
-            leadership.is_paused = True
-            if await self._resign(leadership):
-                self._end_term('the host stops')
-                return
-            leadership.is_paused = False
+        leadership = self.leadership
+        if leadership is None:
+            return
+        leadership.set_leaving(None)
+        leadership.is_leaving = True
+        while self.leadership is leadership:
+            if self.row is None or not self.row.is_leaving:
+                await self._announce_leaving(leadership)
             await asyncio.sleep(RETRY_S)
 
-    async def _resign(self, leadership: Leadership) -> bool:
-        """Write that nobody leads; no grant may be sent meanwhile."""
-        row = LeaderRow(self.host, None, leadership.row.term, self.nonce)
+    async def _announce_leaving(self, leadership: Leadership) -> None:
+        row = replace(leadership.row, is_leaving=True)
+        outcome = 'stored'
         try:
             await self.store.commit(
                 {LEADER_ROW: leadership.row_version},
                 {LEADER_ROW: row.encode()},
             )
         except PlatformError as error:
-            self.log.emit(
-                Event.TAKEOVER,
-                term=row.term,
-                outcome=str(error),
-                reason='stepping down',
-            )
-            # A write that may yet be done ends the term as well.
-            return isinstance(error, OutcomeUnknownError)
-        return True
+            outcome = str(error)
+        self.log.emit(
+            Event.TAKEOVER,
+            term=row.term,
+            outcome=outcome,
+            reason='this host stops',
+        )
 
 
 def _forward_to(link: HostLink) -> Forward:
@@ -689,16 +726,3 @@
         link.send(encode_rows(table, rows, version))
 
     return forward
-
-
-async def _ask(address: str) -> Message:
-    """Ask another host what it hears and whether it leads.
-
-    :raises PeerError: when it does not answer.
-    """
-    link = await connect(address)
-    try:
-        link.send({'kind': 'ask'})
-        return await link.receive(CONSULT_TIMEOUT_S)
-    finally:
-        link.close()
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -287,6 +287,18 @@
         ('term', 'reason'),
         'This host is not the coordinator any more.',
     )
+    WITNESSES_CHOSEN = EventKind(
+        439,
+        logging.INFO,
+        ('term', 'witnesses', 'row_version'),
+        'Other hosts vouch for this coordinator.',
+    )
+    PREDECESSOR_OVER = EventKind(
+        440,
+        logging.INFO,
+        ('coordinator', 'term', 'promises', 'witnesses', 'in_s'),
+        'The end of the previous coordinator is known.',
+    )
     KEYS_MOVED = EventKind(
         436,
         logging.INFO,
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -50,6 +50,13 @@
     Store,
     even_ranges,
 )
+from oriolearch.core.witnesses import (
+    LONG_AUTHORITY_S,
+    Authority,
+    Witness,
+    WitnessRow,
+    choose_witnesses,
+)
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.ports import RowName, SharedStore, StoredRow
 from oriolearch.registry import Registry
@@ -58,11 +65,8 @@
 LEADER_TABLE = 'oriolearch-coordinator'
 OWNER_TABLE = 'oriolearch-owners'
 LEADER_ROW = RowName(LEADER_TABLE, 'coordinator')
+WITNESS_ROW = RowName('oriolearch-witnesses', 'witnesses')
 
-# A coordinator acts this long after the store last confirmed it. It covers
-# the outages of the store that are usual; a successor waits as long before it
-# frees the keys of a silent upstream.
-AUTHORITY_S = 12.0
 HOLD_S = 2.5  # keys of a silent upstream are free after this
 RENEW_S = 0.6  # two renewals may be lost before a grant ends
 TICK_S = 0.02  # a move takes two or three steps
@@ -73,6 +77,8 @@
 BEAT_PERIOD_S = 0.25  # hosts hear from the coordinator this often
 HOSTS_PERIOD_S = 0.2  # many hosts that start are told of in few messages
 WATCHERS = 2  # hosts beside the coordinator that follow the tables
+WITNESS_DELAY_S = 0.5  # most hosts have connected by then
+WITNESS_RETRY_S = 0.5  # after a failed write of the witnesses
 STUCK_AFTER_S = 2.0  # a coordinator whose writes fail lets others take over
 
 
@@ -102,24 +108,27 @@
     """A host that hears the coordinator.
 
     :param capacity: share of a processor that it has.
+    :param run: unique to this run of the host.
     """
 
     address: str
     zone: str
     capacity: float
+    run: str
 
 
 @dataclass(frozen=True, slots=True)
 class LeaderRow:
     """The row that names the coordinator.
 
-    :param address: ``None`` when the last one stepped down.
+    :param is_leaving: its host stops. It acts until another host takes over.
     """
 
     host: str
-    address: str | None
+    address: str
     term: int
     nonce: str
+    is_leaving: bool = False
 
     def encode(self) -> bytes:
         """Give the row's value."""
@@ -129,9 +138,14 @@
                 'address': self.address,
                 'term': self.term,
                 'nonce': self.nonce,
+                'leaving': self.is_leaving,
             },
         ).encode()
 
+    def is_same_term(self, other: 'LeaderRow') -> bool:
+        """Tell whether two rows name the same run of a coordinator."""
+        return (self.term, self.nonce) == (other.term, other.nonce)
+
 
 def decode_leader(row: StoredRow) -> LeaderRow | None:
     """Read the row that names the coordinator; ``None`` if unreadable."""
@@ -139,9 +153,10 @@
         fields = json.loads(row.value or b'')
         return LeaderRow(
             str(fields['host']),
-            fields['address'],
+            str(fields['address']),
             int(fields['term']),
             str(fields['nonce']),
+            bool(fields['leaving']),
         )
     except (ValueError, KeyError, TypeError):
         return None
@@ -238,7 +253,11 @@
         self.log = log
         self.spawn = spawn
         self.began_at = lease_clock()
-        self.confirmed_at = self.began_at
+        self.authority = Authority(self.began_at)
+        self.witness_version: int | None = None
+        self.witnesses: tuple[Witness, ...] = ()
+        self.is_storing_witnesses = False
+        self.predecessor_over_at = self.began_at + LONG_AUTHORITY_S
         self.pools: dict[str, KeyOwnership] = {}
         self.pool_versions: dict[str, int] = {}
         self.read_pools: dict[str, StoredRow] = {}
@@ -256,20 +275,13 @@
             _drop_changes
         )
         self.is_over = False
-        self.is_predecessor_over = False
-        self.is_paused = False
+        self.is_leaving = False
         self.failing_since: float | None = None
         self.step_down: Callable[[str], None] = _drop_reason
 
-    def confirm(self, sent_at: float) -> None:
-        """Take the store's word that the row was unchanged."""
-        self.confirmed_at = max(self.confirmed_at, sent_at)
-
     def has_authority(self) -> bool:
         """Tell whether grants may be sent now."""
-        if self.is_over or self.is_paused:
-            return False
-        return lease_clock() < self.confirmed_at + AUTHORITY_S
+        return not self.is_over and lease_clock() < self.authority.until()
 
     def is_stuck(self) -> bool:
         """Tell whether changes of ownership cannot be written."""
@@ -292,9 +304,11 @@
             if now >= beat_at:
                 beat_at = now + BEAT_PERIOD_S
                 self._tell_all(self._beat_message())
+                self._ask_witnesses(now)
             if now >= hosts_at:
                 hosts_at = now + HOSTS_PERIOD_S
                 self._send_hosts()
+                self._review_witnesses()
             self._step(now)
             self._publish()
             await asyncio.sleep(TICK_S)
@@ -304,7 +318,11 @@
             return
         for pool, ownership in self.pools.items():
             for effect in ownership.step(now):
-                self._carry_out(pool, ownership, effect)
+                if self.is_leaving and isinstance(effect, Store):
+                    # Only the successor writes owners from here on.
+                    ownership.store_failed(now, is_doubtful=False)
+                else:
+                    self._carry_out(pool, ownership, effect)
 
     def add_link(self, link: HostLink, member: Member) -> None:
         """Take the connection of a host, and tell it all owners."""
@@ -381,13 +399,96 @@
         """Take the seconds that requests take at upstreams."""
         self.works.setdefault(pool, {}).update(works)
 
-    def predecessor_ended(self) -> None:
-        """Take the proof that the predecessor gives no more grants."""
-        self.is_predecessor_over = True
-        until = lease_clock() + _LONGEST_GRANT_S
+    def limit_predecessor(self, over_at: float) -> None:
+        """Take when the predecessor's authority is over at the latest."""
+        self.predecessor_over_at = min(self.predecessor_over_at, over_at)
+        until = self.predecessor_over_at + _LONGEST_GRANT_S
         for ownership in self.pools.values():
             ownership.limit_unknown(until)
 
+    def _ask_witnesses(self, now: float) -> None:
+        """Ask the witnesses to vouch for this coordinator."""
+        runs = {
+            witness.run for group in self.authority.groups for witness in group
+        }
+        line = encode_line(
+            {'kind': 'vouch', 'term': self.row.term, 'at': now},
+        )
+        for link, member in list(self.links.items()):
+            if member.run in runs:
+                link.send_line(line)
+
+    def _review_witnesses(self) -> None:
+        """Replace witnesses that are gone, once hosts had time to connect."""
+        is_early = lease_clock() < self.began_at + WITNESS_DELAY_S
+        if is_early or self.witness_version is None:
+            return
+        is_idle = not self.is_storing_witnesses and not self.is_leaving
+        if not is_idle or not self.has_authority():
+            return
+        hosts = {
+            Witness(member.address, member.run): member.zone
+            for link, member in self.links.items()
+            if link not in self.leaving
+        }
+        chosen = choose_witnesses(hosts, self.witnesses, self.own.zone)
+        if chosen and set(chosen) != set(self.witnesses):
+            self.is_storing_witnesses = True
+            self.spawn(self._store_witnesses(self.witness_version, chosen))
+
+    async def _store_witnesses(
+        self,
+        version: int,
+        chosen: tuple[Witness, ...],
+    ) -> None:
+        sent_at = lease_clock()
+        conditions = {LEADER_ROW: self.row_version, WITNESS_ROW: version}
+        row = WitnessRow(self.row.term, chosen)
+        self.authority.propose(chosen)
+        try:
+            self.witness_version = await self.store.commit(
+                conditions,
+                {WITNESS_ROW: row.encode()},
+            )
+        except PlatformError as error:
+            self.log.emit(
+                Event.STORE_LOST,
+                table=WITNESS_ROW.table,
+                error=str(error),
+            )
+            if isinstance(error, ConditionFailedError):
+                self._take_witness_version(error)
+            await asyncio.sleep(WITNESS_RETRY_S)
+        else:
+            self.authority.adopt(chosen)
+            self.authority.confirm(sent_at)
+            self.witnesses = chosen
+            self.log.emit(
+                Event.WITNESSES_CHOSEN,
+                term=self.row.term,
+                witnesses=[witness.address for witness in chosen],
+                row_version=self.witness_version,
+            )
+        finally:
+            self.is_storing_witnesses = False
+
+    def _take_witness_version(self, error: ConditionFailedError) -> None:
+        """Learn of an earlier write of this term whose answer was lost."""
+        versions = _versions(error)
+        if self._is_replaced(versions):
+            self.step_down('another host took over')
+            return
+        self.witness_version = versions.get(WITNESS_ROW, self.witness_version)
+
+    def _is_replaced(self, versions: dict[RowName, int]) -> bool:
+        """Tell whether another host leads.
+
+        A host that leaves has changed its own row; it follows that row to
+        learn of its successor.
+        """
+        version = versions.get(LEADER_ROW, self.row_version)
+        return version != self.row_version and not self.is_leaving
+
     async def _read_pools(self) -> None:
         while not self.has_read and not self.is_over:
             try:
@@ -427,9 +528,7 @@
             if not usable:
                 return None
             ranges = even_ranges(usable)
-        unknown_until = self.began_at + _LONGEST_GRANT_S
-        if not self.is_predecessor_over:
-            unknown_until += AUTHORITY_S
+        unknown_until = self.predecessor_over_at + _LONGEST_GRANT_S
         ownership = KeyOwnership(
             now,
             ranges,
@@ -449,6 +548,8 @@
         return ownership
 
     def _rescue(self, now: float) -> None:
+        if self.is_leaving:
+            return
         for pool, ownership in self.pools.items():
             seats = self._seats(pool, ownership)
             owners = {keys.owner for keys in ownership.ranges}
@@ -469,7 +570,7 @@
     def _balance(self, now: float) -> None:
         factor = 0.5 ** (BALANCE_PERIOD_S / RATE_HALF_LIFE_S)
         for pool, ownership in self.pools.items():
-            if self.failing_since is not None:
+            if self.failing_since is not None or self.is_leaving:
                 continue
             rates = self.rates.get(pool, {})
             for key in list(rates):
@@ -562,7 +663,7 @@
             self._store_failed(pool, ownership, error)
             return
         self.failing_since = None
-        self.confirm(sent_at)
+        self.authority.confirm(sent_at)
         self.pool_versions[pool] = version
         ownership.stored(lease_clock(), revision)
 
@@ -580,11 +681,8 @@
         ownership.store_failed(now, is_doubtful=not is_refused)
         self.log.emit(Event.STORE_LOST, table=OWNER_TABLE, error=str(error))
         if isinstance(error, ConditionFailedError):
-            versions = {
-                RowName(table, key): version
-                for table, key, version in error.failed
-            }
-            if versions.get(LEADER_ROW, self.row_version) != self.row_version:
+            versions = _versions(error)
+            if self._is_replaced(versions):
                 self.step_down('another host took over')
                 return
             # An earlier write of this term whose answer was lost.
@@ -723,6 +821,13 @@
         self._tell_all(self._hosts_message(hosts))
 
 
+def _versions(error: ConditionFailedError) -> dict[RowName, int]:
+    """Give the versions that rows have, of those that a write required."""
+    return {
+        RowName(table, key): version for table, key, version in error.failed
+    }
+
+
 def _weight(mean_s: float, work_s: float | None) -> float:
     """Give the work that an upstream can do, against the mean."""
     if not work_s:
--- /dev/null
+++ b/src/oriolearch/succession.py
@@ -0,0 +1,141 @@
+"""What a new coordinator finds out about the end of its predecessor."""
+
+import asyncio
+
+from oriolearch.adapters.host_links import Message, connect
+from oriolearch.clock import lease_clock
+from oriolearch.core.errors import PeerError, PlatformError
+from oriolearch.core.witnesses import (
+    PredecessorEnd,
+    Witness,
+    decode_witnesses,
+)
+from oriolearch.eventlog import Event, EventLog
+from oriolearch.leadership import WITNESS_ROW, Leadership, LeaderRow
+from oriolearch.ports import SharedStore
+
+ANSWER_TIMEOUT_S = 0.4  # another host answers at once or not at all
+ASK_PERIOD_S = 0.3  # hosts that gave no proof are asked this often
+READ_RETRY_S = 0.2  # after a failed call of the store
+
+
+class Succession:
+    """Ends the doubt about the grants of a coordinator's predecessor.
+
+    :param predecessor: ``None`` when there is none that may still act.
+    """
+
+    def __init__(
+        self,
+        store: SharedStore,
+        leadership: Leadership,
+        predecessor: LeaderRow | None,
+        log: EventLog,
+    ) -> None:
+        self.store = store
+        self.leadership = leadership
+        self.predecessor = predecessor
+        self.log = log
+        self.taken_at = lease_clock()
+
+    async def run(self) -> None:
+        """Learn who vouched for the predecessor, and have them stop."""
+        value, version = await self._read_row()
+        self.leadership.witness_version = version
+        predecessor = self.predecessor
+        if predecessor is None:
+            return
+        witnesses = decode_witnesses(value, predecessor.term)
+        end = PredecessorEnd(witnesses, self.taken_at)
+        while not self.leadership.is_over and lease_clock() < end.over_at:
+            known_at = end.over_at
+            await asyncio.gather(
+                self._ask_predecessor(predecessor, end),
+                *(
+                    self._ask_witness(witness, predecessor.term, end)
+                    for witness in witnesses
+                    if witness.run not in end.promised
+                ),
+            )
+            if end.over_at < known_at:
+                self._limit(predecessor, end)
+            await asyncio.sleep(ASK_PERIOD_S)
+
+    def _limit(self, predecessor: LeaderRow, end: PredecessorEnd) -> None:
+        self.leadership.limit_predecessor(end.over_at)
+        self.log.emit(
+            Event.PREDECESSOR_OVER,
+            coordinator=predecessor.host,
+            term=predecessor.term,
+            promises=len(end.promised),
+            witnesses=len(end.witnesses),
+            in_s=round(end.over_at - lease_clock(), 3),
+        )
+
+    async def _read_row(self) -> tuple[bytes | None, int]:
+        while True:
+            try:
+                state = await self.store.read(WITNESS_ROW.table)
+            except PlatformError as error:
+                self.log.emit(
+                    Event.STORE_LOST,
+                    table=WITNESS_ROW.table,
+                    error=str(error),
+                )
+                await asyncio.sleep(READ_RETRY_S)
+                continue
+            for row in state.rows:
+                if row.key == WITNESS_ROW.key and row.value is not None:
+                    return row.value, row.version
+            return None, 0
+
+    async def _ask_predecessor(
+        self,
+        predecessor: LeaderRow,
+        end: PredecessorEnd,
+    ) -> None:
+        """Take its host's word that it runs anew or leads no more."""
+        try:
+            answer = await ask(predecessor.address, {'kind': 'ask'})
+        except PeerError:
+            # It may be cut off and still lead: no proof.
+            return
+        is_same_run = answer.get('nonce') == predecessor.nonce
+        if not is_same_run or answer.get('leads') != predecessor.term:
+            end.proven(lease_clock())
+
+    async def _ask_witness(
+        self,
+        witness: Witness,
+        term: int,
+        end: PredecessorEnd,
+    ) -> None:
+        try:
+            answer = await ask(
+                witness.address,
+                {'kind': 'promise', 'term': term},
+            )
+        except PeerError:
+            # It may be cut off and still vouch: no proof.
+            return
+        promised = answer.get('promised')
+        end.answered(
+            lease_clock(),
+            witness,
+            str(answer.get('nonce')),
+            promised if isinstance(promised, int) else 0,
+            term,
+        )
+
+
+async def ask(address: str, question: Message) -> Message:
+    """Ask another host something that it answers at once.
+
+    :raises PeerError: when it does not answer.
+    """
+    link = await connect(address)
+    try:
+        link.send(question)
+        return await link.receive(ANSWER_TIMEOUT_S)
+    finally:
+        link.close()
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -73,6 +73,7 @@
     """The platform's store, with a switch for outages.
 
     :ivar is_down: every call is answered 503.
+    :ivar is_closing: every call ends with its connection.
     :ivar lost_writes: so many writes are done and not answered.
     """
 
@@ -82,6 +83,7 @@
         self.version = 1
         self.oldest = 0
         self.is_down = False
+        self.is_closing = False
         self.lost_writes = 0
         self.changed = asyncio.Event()
         self.calls: list[str] = []
@@ -112,6 +114,8 @@
     ) -> Answer:
         parts = urlsplit(target)
         self.calls.append(parts.path)
+        if self.is_closing:
+            raise ConnectionError
         if self.is_down:
             return 503, {}, b''
         query = {key: found[0] for key, found in parse_qs(parts.query).items()}
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -271,6 +271,29 @@
     play(scene, hosts=3)
 
 
+def test_coordinator_and_server_are_lost_for_good() -> None:
+    """Keys of a dead server whose coordinator is dead as well.
+
+    Seen on vdp-gateway-grown trouble-3: nothing proved the coordinator's
+    end, and such keys waited for 15 s.
+    """
+
+    async def scene(installation: Installation) -> None:
+        leadership = leader_of(installation).coordination.leadership
+        assert leadership is not None
+        async with asyncio.timeout(5):
+            while len(leadership.authority.vouched_at) < 2:
+                await asyncio.sleep(0.05)
+        dead = installation.servers[0]
+        dead.stop()
+        installation.store.remove('servers', dead.name)
+        installation.kill(leader_of(installation))
+        async with asyncio.timeout(9):
+            await installation.serves_all()
+
+    play(scene, hosts=4)
+
+
 def test_draining_server_gives_its_keys_away() -> None:
     """Requests that reach a server which is about to leave."""
 
@@ -414,6 +437,38 @@
     play(scene, hosts=2)
 
 
+@pytest.mark.parametrize('trouble', ['', 'is_down', 'is_closing'])
+def test_coordinator_that_stops_leaves_no_gap(trouble: str) -> None:
+    """Keys that lapse because their coordinator is stopped.
+
+    Seen on vdp-gateway-grown trouble-3: SIGTERM during an outage of the
+    store, whose answer to the resignation was lost. Nobody led for seven
+    seconds, and four fifths of the requests were refused.
+    """
+
+    async def scene(installation: Installation) -> None:
+        leader = leader_of(installation)
+        rest = [host for host in installation.hosts if host is not leader]
+        other = installation.hosts.index(rest[0])
+        if trouble:
+            setattr(installation.store, trouble, True)
+        stopping = asyncio.create_task(leader.stop())
+        statuses: set[int] = set()
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + 4.0
+        while loop.time() < ends_at:
+            statuses.update(await installation.orders(other))
+            await asyncio.sleep(0.1)
+        if trouble:
+            setattr(installation.store, trouble, False)
+        assert statuses == {200}
+        await stopping
+        installation.kill(leader)
+        await installation.serves_all()
+
+    play(scene, hosts=3)
+
+
 async def ready(installation: Installation) -> int:
     address = installation.hosts[0].settings.readiness
     request = b'GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n'
