Keep the predecessor in mind when a takeover's answer is lost

The predecessor is now the row that the takeover was conditional on. The test fails on the code before.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -518,6 +518,7 @@
     async def try_takeover(self, reason: str) -> None:
         """Try to become the coordinator."""
         seen = self.row_version
+        predecessor = self.row
         # Large hosts come first: a coordinator tells all others of changes.
         delay_s = TAKEOVER_SPREAD_S * (0.5 + self.rng.random())
         await asyncio.sleep(min(delay_s / self.capacity, LONGEST_DELAY_S))
@@ -546,11 +547,16 @@
         )
         if outcome == 'won':
             self.store_pause_s = RETRY_S
-            self._begin_term(row, version, began_at)
+            self._begin_term(row, version, began_at, predecessor)
         else:
-            await self._learn_row(row, began_at)
+            await self._learn_row(row, began_at, predecessor)
 
-    async def _learn_row(self, attempted: LeaderRow, began_at: float) -> None:
+    async def _learn_row(
+        self,
+        attempted: LeaderRow,
+        began_at: float,
+        predecessor: LeaderRow | None,
+    ) -> None:
         """Read who leads after an attempt that did not surely succeed."""
         await asyncio.sleep(RETRY_S)
         try:
@@ -562,17 +568,22 @@
         self.store_pause_s = RETRY_S
         self._take_rows(state)
         if self.row == attempted and self.leadership is None:
-            self._begin_term(attempted, self.row_version, began_at)
+            self._begin_term(
+                attempted,
+                self.row_version,
+                began_at,
+                predecessor,
+            )
 
     def _begin_term(
         self,
         row: LeaderRow,
         version: int,
         began_at: float,
+        predecessor: LeaderRow | None,
     ) -> None:
         if self.row_version > version:
             return
-        predecessor = None if self.row == row else self.row
         self.row = row
         self.row_version = version
         leadership = Leadership(
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -14,6 +14,7 @@
 
 from oriolearch.adapters.upstream_links import Answer, LinkPool
 from oriolearch.core.errors import ValidationError
+from oriolearch.core.witnesses import SHORT_AUTHORITY_S
 from oriolearch.platform.daemon import HostDaemon
 from oriolearch.platform.settings import load_settings, read_settings
 from tests.platform_standin import KeyedServer, Store
@@ -294,6 +295,33 @@
     play(scene, hosts=4)
 
 
+def test_takeover_without_an_answer_knows_its_predecessor() -> None:
+    """A silent server's keys that move while its coordinator still acts.
+
+    Seen on iped-pares scale-1: the answer to a takeover was lost, and the
+    successor took its own row, read again, for a term without predecessor.
+    """
+
+    async def scene(installation: Installation) -> None:
+        leader = leader_of(installation)
+        old_term = leader.coordination.leadership
+        assert old_term is not None
+        installation.store.lost_writes = 1
+        installation.kill(leader)
+        async with asyncio.timeout(5):
+            while not any(
+                host.coordination.leadership for host in installation.hosts
+            ):
+                await asyncio.sleep(0.01)
+        leadership = leader_of(installation).coordination.leadership
+        assert leadership is not None
+        assert leadership.row.term > old_term.row.term
+        doubt_s = leadership.predecessor_over_at - leadership.began_at
+        assert doubt_s >= SHORT_AUTHORITY_S - 0.1
+
+    play(scene, hosts=2)
+
+
 def test_draining_server_gives_its_keys_away() -> None:
     """Requests that reach a server which is about to leave."""
 
