Have a small coordinator yield to a large host

A coordinator now asks a host of twice its size to take over and acts until it has; starting hosts read the tables themselves before they connect.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -42,6 +42,10 @@
 )
 from oriolearch.succession import Succession, ask
 
+START_POLL_S = 0.02  # a starting host looks this often
+# A starting host reads the tables itself; a coordinator that sends them whole
+# to all hosts of a restart has no room for its beats.
+TABLES_WAIT_S = 0.6
 CONSULTED = 8  # other hosts that are asked before a takeover
 SILENCE_S = 1.0  # without a beat for so long, the coordinator counts as lost
 REPORT_PERIOD_S = 0.2  # counts of keys are sent this often
@@ -236,7 +240,12 @@
     async def run(self) -> None:
         """Hear the coordinator, or replace it when it is lost."""
         while not self.is_row_known:
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(START_POLL_S)
+        began_at = lease_clock()
+        while lease_clock() < began_at + TABLES_WAIT_S:
+            if self.relay.is_read():
+                break
+            await asyncio.sleep(START_POLL_S)
         self.heard_at = lease_clock()
         while True:
             if self.leadership is None:
@@ -343,22 +352,27 @@
     def _take_message(self, row: LeaderRow, message: Message) -> None:
         kind = message.get('kind')
         if kind == 'beat':
-            if self.heard_term != row.term:
-                self.log.emit(
-                    Event.COORDINATOR_LINKED,
-                    coordinator=row.host,
-                    term=row.term,
-                )
-            self.heard_at = lease_clock()
-            self.heard_term = row.term
-            self._take_hosts(message)
-            if message.get('stuck'):
-                self._help_out()
+            self._take_beat(row, message)
         elif kind == 'owners':
             pool = str(message.get('pool'))
             self.take_owners(pool, read_owners(message), message['whole'])
         elif kind == 'rows':
             self.relay.told(message)
+        elif kind == 'yield' and not self.is_stopping:
+            self.spawn(self.try_takeover('the coordinator is a small host'))
+
+    def _take_beat(self, row: LeaderRow, message: Message) -> None:
+        if self.heard_term != row.term:
+            self.log.emit(
+                Event.COORDINATOR_LINKED,
+                coordinator=row.host,
+                term=row.term,
+            )
+        self.heard_at = lease_clock()
+        self.heard_term = row.term
+        self._take_hosts(message)
+        if message.get('stuck'):
+            self._help_out()
 
     def _unlink(self, link: HostLink) -> None:
         link.close()
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -77,6 +77,8 @@
 BEAT_PERIOD_S = 0.25  # hosts hear from the coordinator this often
 HOSTS_PERIOD_S = 0.2  # many hosts that start are told of in few messages
 WATCHERS = 2  # hosts beside the coordinator that follow the tables
+YIELD_PERIOD_S = 2.0  # a small coordinator asks a large host this often
+YIELD_FACTOR = 2.0  # of its own capacity, that makes a host a large one
 WITNESS_DELAY_S = 0.5  # most hosts have connected by then
 WITNESS_RETRY_S = 0.5  # after a failed write of the witnesses
 STUCK_AFTER_S = 2.0  # a coordinator whose writes fail lets others take over
@@ -292,6 +294,7 @@
         """Grant, renew and move keys until the term is over."""
         await self._read_pools()
         rescue_at = balance_at = beat_at = hosts_at = 0.0
+        yield_at = lease_clock() + YIELD_PERIOD_S
         while not self.is_over:
             now = lease_clock()
             if now >= rescue_at:
@@ -309,6 +312,9 @@
                 hosts_at = now + HOSTS_PERIOD_S
                 self._send_hosts()
                 self._review_witnesses()
+            if now >= yield_at:
+                yield_at = now + YIELD_PERIOD_S
+                self._yield_to_larger()
             self._step(now)
             self._publish()
             await asyncio.sleep(TICK_S)
@@ -418,6 +424,23 @@
             if member.run in runs:
                 link.send_line(line)
 
+    def _yield_to_larger(self) -> None:
+        """Ask a much larger host to take over.
+
+        The coordinator renews the grants of all upstreams and tells all hosts
+        of each change, which fills the network link of a small host.
+        """
+        members = {
+            link: member.capacity
+            for link, member in self.links.items()
+            if link not in self.leaving
+        }
+        largest = max(members, key=members.__getitem__, default=None)
+        if largest is None or self.is_leaving:
+            return
+        if members[largest] >= YIELD_FACTOR * self.own.capacity:
+            largest.send({'kind': 'yield', 'term': self.row.term})
+
     def _review_witnesses(self) -> None:
         """Replace witnesses that are gone, once hosts had time to connect."""
         is_early = lease_clock() < self.began_at + WITNESS_DELAY_S
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -128,6 +128,14 @@
         self.hosts.append(host)
         return host
 
+    async def add_small_host(self, name: str) -> HostDaemon:
+        fields = settings(self.store.address, name)
+        fields['limits'] = {'cpu_share': 0.2, 'cores': 1}
+        host = HostDaemon(read_settings('test', fields))
+        await host.start()
+        self.hosts.append(host)
+        return host
+
     def kill(self, host: HostDaemon) -> None:
         """End a host as SIGKILL does: nothing is handed over."""
         self.hosts.remove(host)
@@ -322,6 +330,31 @@
     play(scene, hosts=2)
 
 
+def test_small_coordinator_yields_to_a_large_host() -> None:
+    """A small host that renews all grants and tells all hosts of changes.
+
+    Seen on iped-pares-grown trouble-1: after the loss of all power a host
+    with a link of 10 Mbit/s came up first and led 84 hosts to the end; a
+    quarter of the requests was served.
+    """
+
+    async def scene(installation: Installation) -> None:
+        for host in list(installation.hosts):
+            installation.kill(host)
+        small = await installation.add_small_host('small')
+        await installation.serves_all()
+        large = await installation.add_host('large')
+        statuses: set[int] = set()
+        async with asyncio.timeout(6):
+            while large.coordination.leadership is None:
+                statuses.update(await installation.orders())
+        statuses.update(await installation.orders())
+        assert small.coordination.leadership is None
+        assert statuses == {200}
+
+    play(scene)
+
+
 def test_draining_server_gives_its_keys_away() -> None:
     """Requests that reach a server which is about to leave."""
 
