Explain a request from logs; report queues, limits and beliefs

The metrics address tells queues, places, cold upstreams, second sends, keys granted, authority, age of the coordinator's word, versions of tables, and calls of the store by outcome.

--- a/src/oriolearch/adapters/metrics.py
+++ b/src/oriolearch/adapters/metrics.py
@@ -126,5 +126,19 @@
     return lines
 
 
+def render_store_calls(outcomes: Mapping[tuple[str, str], int]) -> list[str]:
+    """Give lines that count the calls of the store by path and outcome."""
+    name = 'oriolearch_store_calls_total'
+    lines = [
+        f'# HELP {name} Calls of the store.',
+        f'# TYPE {name} counter',
+    ]
+    lines.extend(
+        f'{name}{{path="{_escape(path)}",outcome="{_escape(outcome)}"}} {total}'
+        for (path, outcome), total in sorted(outcomes.items())
+    )
+    return lines
+
+
 def _number_of(counted: tuple[Event, int]) -> int:
     return counted[0].value.number
--- a/src/oriolearch/cli.py
+++ b/src/oriolearch/cli.py
@@ -21,7 +21,9 @@
 from oriolearch.core import configuration
 from oriolearch.core.errors import ConflictError, OriolearchError
 from oriolearch.core.model import Fencing
+from oriolearch.explaining import LogLine, explain, read_lines
 from oriolearch.host import Host
+from oriolearch.platform.settings import load_settings
 from oriolearch.schema import EditModel, parse, read_document
 from oriolearch.settings import Settings, read_json, read_settings
 from oriolearch.standins.keyed import KeyedStandin
@@ -81,6 +83,10 @@
         bool,
         cappa.Arg(long='--tables', help='the file holds routes and pools'),
     ] = False
+    platform: Annotated[
+        bool,
+        cappa.Arg(long='--platform', help="the users' platform wrote the file"),
+    ] = False
 
     def __call__(self) -> None:
         """Run the command."""
@@ -91,6 +97,9 @@
         print(f'{self.path}: ok')
 
     def _check(self) -> None:
+        if self.platform:
+            load_settings(str(self.path))
+            return
         if not self.tables:
             read_settings(self.path)
             return
@@ -359,6 +368,30 @@
             return PlainStandin(port=port)
 
 
+@cappa.command(name='explain', help='Show what happened to a request')
+@dataclass
+class Explain:
+    """Reads the logs of hosts; ends with status 1 when none has the id."""
+
+    request: Annotated[str, cappa.Arg(help='its id')]
+    logs: Annotated[
+        list[Path],
+        cappa.Arg(help='logs of hosts on the platform', num_args=-1),
+    ]
+
+    def __call__(self) -> None:
+        """Run the command."""
+        lines: list[LogLine] = []
+        for path in self.logs:
+            with path.open(encoding='utf-8', errors='replace') as log:
+                lines.extend(read_lines(path.stem, log))
+        found = explain(lines, self.request)
+        for line in found:
+            print(line)
+        if not found:
+            raise cappa.Exit(f'no line of {self.request}', code=1)
+
+
 @cappa.command(name='oriolearch', help='A router for servers that own keys')
 @dataclass
 class Oriolearch:
@@ -376,6 +409,7 @@
         | Demo
         | Serve
         | Standin
+        | Explain
     ]
 
 
--- /dev/null
+++ b/src/oriolearch/explaining.py
@@ -0,0 +1,97 @@
+"""Finds in the logs of hosts what happened to one request.
+
+The lines of the request come with those that changed what the hosts believed
+about its upstreams, its coordinator and the store shortly before.
+"""
+
+import json
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from datetime import datetime
+from typing import Any
+
+CONTEXT_S = 4.0  # keys of a lost upstream have another owner by then
+BELIEFS = frozenset(
+    (
+        'coordinator_lost',
+        'directory_applied',
+        'host_started',
+        'host_stopping',
+        'predecessor_over',
+        'settings_read',
+        'stepped_down',
+        'store_lost',
+        'store_regained',
+        'takeover',
+        'zones_out',
+    ),
+)
+UPSTREAM_EVENTS = frozenset(('grant_failed', 'keys_moved', 'upstream_changed'))
+_PLAIN = frozenset(('event', 'level', 'message', 'number', 'time'))
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One line of a host's log.
+
+    :param source: the file that it stands in, or what stands before it.
+    """
+
+    source: str
+    at: datetime
+    fields: Mapping[str, Any]
+
+    def __str__(self) -> str:
+        """Give time, source, message and the inputs of the decision."""
+        inputs = ' '.join(
+            f'{name}={found}'
+            for name, found in self.fields.items()
+            if name not in _PLAIN
+        )
+        clock = self.at.strftime('%H:%M:%S.%f')[:-3]
+        return f'{clock} {self.source} {self.fields["event"]}: {inputs}'
+
+
+def read_lines(source: str, lines: Iterable[str]) -> Iterator[LogLine]:
+    """Read the lines of one host; those of other writers are left out."""
+    for line in lines:
+        prefix, brace, rest = line.partition('{')
+        try:
+            fields = json.loads(brace + rest)
+            at = datetime.fromisoformat(fields['time'])
+            name = str(fields['event'])
+        except (ValueError, KeyError, TypeError):
+            continue
+        written = ' '.join((source, *prefix.split()[-1:]))
+        yield LogLine(written, at, {**fields, 'event': name})
+
+
+def explain(lines: Iterable[LogLine], request: str) -> list[LogLine]:
+    """Give the lines of a request with their context, in order of time.
+
+    :returns: nothing when no line has the request's id.
+    """
+    found = sorted(lines, key=lambda line: line.at)
+    own = [line for line in found if line.fields.get('request') == request]
+    if not own:
+        return []
+    sources = {line.source for line in own}
+    upstreams = {line.fields.get('upstream') for line in own} - {None}
+    names = {str(upstream).partition('@')[0] for upstream in upstreams}
+    first, last = own[0].at, own[-1].at
+
+    def is_wanted(line: LogLine) -> bool:
+        if line.fields.get('request') == request:
+            return True
+        if line.at > last:
+            return False
+        if (first - line.at).total_seconds() > CONTEXT_S:
+            return False
+        event = line.fields['event']
+        if event in BELIEFS:
+            return line.source in sources
+        about = line.fields.get('upstream', line.fields.get('owner'))
+        name = str(about).partition('@')[0]
+        return event in UPSTREAM_EVENTS and name in names
+
+    return [line for line in found if is_wanted(line)]
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -12,11 +12,12 @@
     IncomingRequest,
     Reply,
 )
-from oriolearch.adapters.metrics import render_events
+from oriolearch.adapters.metrics import render_events, render_store_calls
 from oriolearch.coordination import Coordination, HostIdentity
 from oriolearch.core.errors import ValidationError
 from oriolearch.eventlog import Event, EventLog, configure_pipe_logging
 from oriolearch.forwarding import Forwarder
+from oriolearch.gauges import render_state
 from oriolearch.platform.settings import HostSettings, load_settings
 from oriolearch.platform.store import StoreClient
 from oriolearch.platform.watching import PlatformWatch
@@ -139,6 +140,8 @@
         lines = [
             *render_events(self.log.totals),
             *self.forwarder.latencies.render(),
+            *render_state(self.coordination),
+            *render_store_calls(self.store.outcomes),
         ]
         return Reply(200, [], '\n'.join((*lines, '')).encode())
 
--- a/src/oriolearch/platform/store.py
+++ b/src/oriolearch/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import json
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from typing import Any
 from urllib.parse import urlencode
@@ -26,10 +27,12 @@
     """Calls the store; one for each process.
 
     :param address: ``host:port`` of the store.
+    :ivar outcomes: calls by path and outcome: a status, or ``unanswered``.
     """
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.outcomes: Counter[tuple[str, str]] = Counter()
         self.calls = LinkPool(address, largest=2)
         self.polls = LinkPool(address, largest=8)
 
@@ -103,9 +106,10 @@
                 'remove': [],
             },
         ).encode()
-        request = _head('POST', '/rows-tx', self.address, len(body)) + body
+        path = '/rows-tx'
+        request = _head('POST', path, self.address, len(body)) + body
         try:
-            answer = await self.calls.exchange(request, CALL_TIMEOUT_S)
+            answer = await self._call(self.calls, path, request, CALL_TIMEOUT_S)
         except LinkError as error:
             if error.was_sent:
                 raise OutcomeUnknownError(str(error)) from error
@@ -129,7 +133,7 @@
         pool = self.polls if path == '/rows-feed' else self.calls
         request = _head('GET', target, self.address, 0)
         try:
-            answer = await pool.exchange(request, timeout_s)
+            answer = await self._call(pool, path, request, timeout_s)
         except LinkError as error:
             raise PlatformError(str(error)) from error
         if answer.status == 410:
@@ -138,6 +142,25 @@
             raise PlatformRefusedError(f'store answered {answer.status}')
         return _decode(answer)
 
+    async def _call(
+        self,
+        pool: LinkPool,
+        path: str,
+        request: bytes,
+        timeout_s: float,
+    ) -> Answer:
+        """Make a call and count its outcome.
+
+        :raises LinkError: when no answer came.
+        """
+        try:
+            answer = await pool.exchange(request, timeout_s)
+        except LinkError:
+            self.outcomes[path, 'unanswered'] += 1
+            raise
+        self.outcomes[path, str(answer.status)] += 1
+        return answer
+
 
 def _head(method: str, target: str, address: str, length: int) -> bytes:
     lines = [f'{method} {target} HTTP/1.1', f'Host: {address}']
