Split the coordinator's term by job

leadership.py keeps the term: pools, moves, witnesses. Its rows and the owners message go to coordinator_rows.py, the hosts that hear it to members.py, and calls of upstreams with their outcome to granting.py. No behaviour changes.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -8,6 +8,15 @@
 
 from oriolearch.adapters.host_links import HostLink, Message, connect, listen
 from oriolearch.clock import lease_clock
+from oriolearch.coordinator_rows import (
+    LEADER_ROW,
+    LEADER_TABLE,
+    OWNER_TABLE,
+    LeaderRow,
+    decode_leader,
+    read_owners,
+    read_ranges,
+)
 from oriolearch.core.errors import (
     ConditionFailedError,
     HistoryLostError,
@@ -20,18 +29,9 @@
 from oriolearch.core.witnesses import Promise
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.forwarding import Forwarder
-from oriolearch.leadership import (
-    LEADER_ROW,
-    LEADER_TABLE,
-    OWNER_TABLE,
-    GrantPort,
-    Leadership,
-    LeaderRow,
-    Member,
-    decode_leader,
-    read_owners,
-    read_ranges,
-)
+from oriolearch.granting import GrantPort
+from oriolearch.leadership import Leadership
+from oriolearch.members import Member
 from oriolearch.placing import DeskServer
 from oriolearch.ports import SharedStore, StoredRow, TableState
 from oriolearch.relaying import (
@@ -494,12 +494,12 @@
             float(hello['capacity']),
             str(hello['run']),
         )
-        leadership.add_link(link, member)
+        leadership.add_member(link, member)
         for table, mirror in self.relay.mirrors.items():
             known = int(hello['versions'].get(table, 0))
             rows = mirror.since(known)
             link.send(encode_rows(table, rows, mirror.version))
-        leadership.send_watchers(link)
+        leadership.members.send_watchers(link)
         try:
             while not leadership.is_over:
                 report = await link.receive(SILENCE_S)
@@ -511,10 +511,10 @@
                     leadership.authority.vouched(member.run, at)
                     continue
                 if report.get('leaving'):
-                    leadership.set_leaving(link)
+                    leadership.members.set_leaving(link)
                 self._take_report(leadership, report)
         finally:
-            leadership.drop_link(link)
+            leadership.members.drop(link)
 
     def _hears(self) -> int:
         if self.leadership is not None and not self.leadership.is_stuck():
@@ -621,11 +621,11 @@
         )
         self.spawn(succession.run())
         leadership.local_changes = self.take_owners
-        leadership.local_hosts = self.take_hosts
+        leadership.members.take_hosts = self.take_hosts
         leadership.step_down = self._end_term
         self.leadership = leadership
         self.relay.set_fed(False)
-        self.relay.forward = leadership.send_rows
+        self.relay.forward = leadership.members.send_rows
         told = set(self.forwarder.places.hosts)
         if predecessor is not None:
             told.add(predecessor.address)
@@ -676,7 +676,7 @@
         leadership.is_over = True
         self.heard_at = lease_clock()
         self.relay.forward = forward_nowhere
-        for link in list(leadership.links):
+        for link in list(leadership.members.links):
             link.close()
         self.log.emit(
             Event.STEPPED_DOWN,
@@ -719,7 +719,7 @@
         leadership = self.leadership
         if leadership is None:
             return
-        leadership.set_leaving(None)
+        leadership.members.set_leaving(None)
         leadership.is_leaving = True
         while self.leadership is leadership:
             if self.row is None or not self.row.is_leaving:
--- a/src/oriolearch/succession.py
+++ b/src/oriolearch/succession.py
@@ -4,6 +4,7 @@
 
 from oriolearch.adapters.host_links import Message, connect
 from oriolearch.clock import lease_clock
+from oriolearch.coordinator_rows import WITNESS_ROW, LeaderRow
 from oriolearch.core.errors import PeerError, PlatformError
 from oriolearch.core.witnesses import (
     PredecessorEnd,
@@ -11,7 +12,7 @@
     decode_witnesses,
 )
 from oriolearch.eventlog import Event, EventLog
-from oriolearch.leadership import WITNESS_ROW, Leadership, LeaderRow
+from oriolearch.leadership import Leadership
 from oriolearch.ports import SharedStore
 
 ANSWER_TIMEOUT_S = 0.4  # another host answers at once or not at all
