--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -47,6 +47,9 @@
 # to all hosts of a restart has no room for its beats.
 TABLES_WAIT_S = 0.6
 CONSULTED = 8  # other hosts that are asked before a takeover
+# A coordinator that all hosts connect to at once may be slow to accept; a
+# host that has just started knows no others to ask.
+CONNECTS_MISSED = 3
 SILENCE_S = 1.0  # without a beat for so long, the coordinator counts as lost
 REPORT_PERIOD_S = 0.2  # counts of keys are sent this often
 RECONNECT_S = 0.1  # a refused connection is tried again after this
@@ -119,6 +122,7 @@
         self.heard_at = float('-inf')
         self.heard_term = 0
         self.lost_at = float('-inf')
+        self.missed_connects = 0
         self.owners_at = float('-inf')
         self.help_at = float('-inf')
         self.store_pause_s = RETRY_S
@@ -229,6 +233,7 @@
     def _take_row(self, row: StoredRow) -> None:
         self.row_version = row.version
         self.row = decode_leader(row)
+        self.missed_connects = 0
         if self.row is not None:
             self.log.emit(
                 Event.COORDINATOR_FOUND,
@@ -294,6 +299,9 @@
 
     async def _replace(self, row: LeaderRow, reason: str) -> None:
         """Take over unless other hosts still hear the coordinator."""
+        if 0 < self.missed_connects < CONNECTS_MISSED:
+            await asyncio.sleep(RETRY_S)
+            return
         verdicts = await asyncio.gather(
             *(self._consult(peer, row.term) for peer in self.peers),
         )
@@ -323,8 +331,12 @@
         """Stay connected to the coordinator; give why that ended."""
         try:
             link = await connect(row.address)
+        except PeerRefusedError as error:
+            return error.reason
         except PeerError as error:
+            self.missed_connects += 1
             return error.reason
+        self.missed_connects = 0
         reporter = self.spawn(self._report(link))
         try:
             link.send(
--- a/src/oriolearch/coordinator_rows.py
+++ b/src/oriolearch/coordinator_rows.py
@@ -1,6 +1,7 @@
 """Rows of the coordinator in the store, and owners as hosts tell them."""
 
 import json
+import zlib
 from dataclasses import dataclass
 
 from oriolearch.adapters.host_links import Message
@@ -19,6 +20,8 @@
 LEADER_TABLE = 'oriolearch-coordinator'
 OWNER_TABLE = 'oriolearch-owners'
 LEADER_ROW = RowName(LEADER_TABLE, 'coordinator')
+PACKED_FROM = 4096  # bytes of text; smaller rows stay readable
+LARGEST_TEXT = 8 * 1024 * 1024  # bytes that a row is unpacked to
 WITNESS_ROW = RowName('oriolearch-witnesses', 'witnesses')
 
 
@@ -78,7 +81,13 @@
         for keys in ranges
     ]
     body = {'revision': revision, 'ranges': rows}
-    return json.dumps(body, separators=(',', ':')).encode()
+    text = json.dumps(body, separators=(',', ':')).encode()
+    # A row holds 64 KB, which 1,000 ranges as plain text fill.
+    return zlib.compress(text) if len(text) >= PACKED_FROM else text
+
+
+def _unpack(value: bytes) -> bytes:
+    return zlib.decompressobj().decompress(value, LARGEST_TEXT)
 
 
 def _row_of(keys: KeyRange) -> tuple[str | None, int, str | None]:
@@ -100,11 +109,12 @@
     """
     found = []
     try:
-        for first, last, owner, fence, previous in json.loads(value)['ranges']:
+        text = value if value.startswith(b'{') else _unpack(value)
+        for first, last, owner, fence, previous in json.loads(text)['ranges']:
             keys = KeyRange(int(first), int(last), _ref(owner), int(fence))
             keys.previous = _ref(previous)
             found.append(keys)
-    except (KeyError, TypeError) as error:
+    except (KeyError, TypeError, zlib.error) as error:
         raise ValueError(f'unreadable ranges: {error}') from error
     starts = [0, *(keys.last + 1 for keys in found)]
     if starts != [*(keys.first for keys in found), KEY_COUNT]:
--- a/src/oriolearch/core/balance.py
+++ b/src/oriolearch/core/balance.py
@@ -20,6 +20,9 @@
 LEAST_GAIN = 0.08  # of the mean load, that a move must bring
 RATE_TOLERANCE = 0.2  # of a wanted rate, within which parts count as equal
 MOVES_AT_ONCE = 24  # of one plan; the next plan sees their effect
+# Each range is granted and renewed on its own, and all are written in one row.
+RANGES_PER_SEAT = 3
+MERGES_AT_ONCE = 8  # of one plan, beside the moves for balance
 COLD_SHARE = 0.3  # of its weight, that a cold upstream is given
 
 
@@ -163,6 +166,66 @@
     return _Plan(list(ranges), seats, rates).make()
 
 
+def plan_merge(
+    ranges: Sequence[KeyRange],
+    seats: Sequence[Seat],
+    rates: KeyRates,
+) -> list[Move]:
+    """Give small parts that nobody asks for to the owner of their neighbours.
+
+    Parts that were hot stay apart otherwise, and their number only grows.
+    """
+    if len(ranges) <= RANGES_PER_SEAT * len(seats):
+        return []
+    return _Merge(ranges, seats, rates).make()
+
+
+class _Merge:
+    def __init__(
+        self,
+        ranges: Sequence[KeyRange],
+        seats: Sequence[Seat],
+        rates: KeyRates,
+    ) -> None:
+        self.ranges = ranges
+        self.rates = [rates.between(keys.first, keys.last) for keys in ranges]
+        weights = {seat.ref: seat.weight for seat in seats}
+        loads = _loads(ranges, weights, rates)
+        self.mean = sum(loads.values()) / sum(weights.values())
+        self.has_room = {
+            ref for ref in weights if loads[ref] < self.mean * weights[ref]
+        }
+        self.touched: set[int] = set()
+
+    def make(self) -> list[Move]:
+        moves: list[Move] = []
+        places = range(len(self.ranges))
+        for place in sorted(places, key=self.rates.__getitem__):
+            is_busy = self.rates[place] > LEAST_GAIN * self.mean
+            if is_busy or len(moves) >= MERGES_AT_ONCE:
+                break
+            owner = self._owner_beside(place)
+            if owner is not None:
+                keys = self.ranges[place]
+                moves.append(Move(keys.first, keys.last, owner))
+        return moves
+
+    def _owner_beside(self, place: int) -> Incarnation | None:
+        """Find a neighbour with room, and keep both out of other moves."""
+        keys = self.ranges[place]
+        if place in self.touched or not keys.is_settled:
+            return None
+        for beside in (place - 1, place + 1):
+            if beside in self.touched or not 0 <= beside < len(self.ranges):
+                continue
+            other = self.ranges[beside]
+            is_usable = other.is_settled and other.owner in self.has_room
+            if is_usable and other.owner != keys.owner:
+                self.touched.update((place, beside))
+                return other.owner
+        return None
+
+
 class _Plan:
     def __init__(
         self,
--- a/src/oriolearch/core/ownership.py
+++ b/src/oriolearch/core/ownership.py
@@ -80,6 +80,12 @@
     is_held: bool = False
     call: int = 0
 
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether the owner holds the keys and nothing is under way."""
+        is_moving = self.planned is not None or self.previous is not None
+        return self.is_held and not is_moving and not self.call
+
     @property
     def size(self) -> int:
         """Count the keys."""
@@ -232,6 +238,26 @@
         """Give the range of a key."""
         return next(keys for keys in self.ranges if keys.last >= key)
 
+    def merge(self) -> None:
+        """Join neighbouring ranges of one owner.
+
+        The higher fence holds for both: it is stored, and nobody else had
+        these keys since the owner got them.
+        """
+        joined = self.ranges[:1]
+        for keys in self.ranges[1:]:
+            last = joined[-1]
+            is_same = last.owner == keys.owner
+            is_stored = (
+                max(last.revision, keys.revision) <= self.stored_revision
+            )
+            both = last.is_settled and keys.is_settled
+            if is_same and is_stored and both:
+                joined[-1] = _join(last, keys)
+            else:
+                joined.append(keys)
+        self.ranges = joined
+
     def step(self, now: float) -> list[Effect]:
         """Give what is to be done now."""
         effects: list[Effect] = []
@@ -495,6 +521,20 @@
         return next(piece for piece in pieces if piece.first == first)
 
 
+def _join(lower: KeyRange, upper: KeyRange) -> KeyRange:
+    return replace(
+        lower,
+        last=upper.last,
+        fence=max(lower.fence, upper.fence),
+        held_until=max(lower.held_until, upper.held_until),
+        sent_until=max(lower.sent_until, upper.sent_until),
+        prior_until=max(lower.prior_until, upper.prior_until),
+        doubtful_until=max(lower.doubtful_until, upper.doubtful_until),
+        due_at=min(lower.due_at, upper.due_at),
+        revision=max(lower.revision, upper.revision),
+    )
+
+
 def even_ranges(owners: Sequence[Incarnation]) -> list[KeyRange]:
     """Divide all keys evenly among owners, in their order."""
     bounds = [
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -190,7 +190,18 @@
     HOST_REFUSED = EventKind(
         411,
         logging.INFO,
-        ('request', 'status', 'reason', 'after_s', 'waited_s'),
+        (
+            'request',
+            'status',
+            'reason',
+            'after_s',
+            'waited_s',
+            'version',
+            'pool',
+            'key',
+            'upstream',
+            'sends',
+        ),
         'The host answered a request in place of an upstream.',
     )
     SEND_FAILED = EventKind(
--- a/src/oriolearch/explaining.py
+++ b/src/oriolearch/explaining.py
@@ -78,6 +78,11 @@
     sources = {line.source for line in own}
     upstreams = {line.fields.get('upstream') for line in own} - {None}
     names = {str(upstream).partition('@')[0] for upstream in upstreams}
+    keys = {
+        (line.fields['pool'], line.fields['key'])
+        for line in own
+        if line.fields.get('key') is not None
+    }
     first, last = own[0].at, own[-1].at
 
     def is_wanted(line: LogLine) -> bool:
@@ -90,6 +95,12 @@
         event = line.fields['event']
         if event in BELIEFS:
             return line.source in sources
+        if event == 'keys_moved' and any(
+            line.fields.get('pool') == pool
+            and line.fields['first'] <= key <= line.fields['last']
+            for pool, key in keys
+        ):
+            return True
         about = line.fields.get('upstream', line.fields.get('owner'))
         name = str(about).partition('@')[0]
         return event in UPSTREAM_EVENTS and name in names
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -262,27 +262,39 @@
     async def serve(self, request: IncomingRequest) -> Reply:
         """Answer a request."""
         head = self.wire.read_head(request)
+        job: _Job | None = None
         try:
-            return await self._serve(request, head)
+            job = self._make_job(request, head)
+            return await self._serve(job)
         except _RefusedError as refusal:
-            took_s = _now() - request.received_at
-            self.log.emit(
-                Event.HOST_REFUSED,
-                request=head.request_id.decode('latin-1'),
-                status=refusal.status,
-                reason=refusal.reason,
-                after_s=refusal.after_s,
-                waited_s=round(took_s, 4),
-            )
-            self.latencies.record('', str(refusal.status), took_s)
+            self._log_refusal(request, head, job, refusal)
             return _refusal_reply(refusal)
 
-    async def _serve(
+    def _log_refusal(
         self,
         request: IncomingRequest,
         head: RequestHead,
-    ) -> Reply:
-        job = self._make_job(request, head)
+        job: _Job | None,
+        refusal: _RefusedError,
+    ) -> None:
+        took_s = _now() - request.received_at
+        directory = self.registry.directory
+        self.log.emit(
+            Event.HOST_REFUSED,
+            request=head.request_id.decode('latin-1'),
+            status=refusal.status,
+            reason=refusal.reason,
+            after_s=refusal.after_s,
+            waited_s=round(took_s, 4),
+            version=directory.version if directory else None,
+            pool=job.pool if job else None,
+            key=head.key,
+            upstream=job.owner.text() if job and job.owner else None,
+            sends=job.sends if job else 0,
+        )
+        self.latencies.record('', str(refusal.status), took_s)
+
+    async def _serve(self, job: _Job) -> Reply:
         self.retries[job.pool].earn()
         while True:
             place = await self._acquire(job)
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -30,6 +30,7 @@
     Move,
     Seat,
     plan_balance,
+    plan_merge,
     plan_rescue,
 )
 from oriolearch.core.directory import Incarnation, UpstreamEntry
@@ -391,8 +392,11 @@
             seats = self._seats(pool, ownership)
             variance = _LN_2 / RATE_HALF_LIFE_S / 2
             found = KeyRates(rates, variance)
+            ownership.merge()
             for move in plan_balance(ownership.ranges, seats, found):
                 self._move(now, pool, ownership, move, 'balance')
+            for move in plan_merge(ownership.ranges, seats, found):
+                self._move(now, pool, ownership, move, 'merge')
 
     def _move(
         self,
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -23,7 +23,7 @@
     line(5.1, 'upstream_changed', upstream='i-2@7', state='ready'),
     line(6, 'coordinator_lost', reason='silent'),
     line(7, 'send_failed', request=REQUEST, upstream='i-1@7', reason='reset'),
-    line(7.1, 'host_refused', request=REQUEST, status=502),
+    line(7.1, 'host_refused', request=REQUEST, status=502, pool='p', key=44),
     line(7.2, 'host_refused', request='another', status=502),
     line(8, 'coordinator_lost', reason='silent'),
     'not a line of ours',
@@ -32,6 +32,8 @@
 LOG_B = [
     line(6.5, 'keys_moved', owner='i-1@7', first=0, last=9),
     line(6.6, 'coordinator_lost', reason='of a host without the request'),
+    line(6.7, 'keys_moved', pool='p', owner='i-5@7', first=40, last=49),
+    line(6.8, 'keys_moved', pool='p', owner='i-5@7', first=50, last=59),
 ]
 
 
@@ -49,6 +51,7 @@
         'a upstream_changed',
         'a coordinator_lost',
         'b keys_moved',
+        'b keys_moved',
         'a send_failed',
         'a host_refused',
     ]
--- a/tests/test_key_ownership.py
+++ b/tests/test_key_ownership.py
@@ -1,13 +1,18 @@
 """Ownership of keys by fenced, timed grants, without network or clock."""
 
 from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
 
 import pytest
 
+from oriolearch.coordinator_rows import decode_ranges, encode_ranges
 from oriolearch.core.balance import (
+    RANGES_PER_SEAT,
     KeyRates,
     Seat,
     plan_balance,
+    plan_merge,
     plan_rescue,
 )
 from oriolearch.core.directory import KEY_COUNT, Incarnation, UpstreamEntry
@@ -29,6 +34,7 @@
     even_ranges,
 )
 
+ROW_BYTES = 65536  # of the store's rows
 HOLD_S = 2.5
 RENEW_S = 0.6
 LONGEST_HOLD_S = CALL_TIMEOUT_S + HOLD_S * CLOCK_SHARE + CLOCK_MARGIN_S
@@ -513,6 +519,102 @@
     assert moved < KEY_COUNT / 10
 
 
+def fragmented(count: int) -> list[KeyRange]:
+    """Give many small ranges whose owners take turns."""
+    ranges = held(
+        even_ranges([(A, B, C)[number % 3] for number in range(3 * count)]),
+    )
+    for number, keys in enumerate(ranges):
+        keys.fence = number + 1
+    return ranges
+
+
+def test_parts_that_nobody_asks_for_are_joined() -> None:
+    """Ranges whose number only grows, each renewed on its own.
+
+    Load pattern: hot keys that change all day. On iped-pares-grown trouble-1
+    there were 1,022 ranges of 136 upstreams; their row was refused as too
+    large, and nothing moved from then on.
+    """
+    fleet = Fleet(fragmented(30))
+    held(fleet.ownership.ranges)
+    fleet.ownership.stored_revision = 5
+    seats = [Seat(ref, 1.0) for ref in (A, B, C)]
+    rates = KeyRates(dict.fromkeys((100, 30000, 60000), 5.0))
+    for _ in range(20):
+        for move in plan_merge(fleet.ownership.ranges, seats, rates):
+            keys = fleet.ownership.find(move.first)
+            assert (keys.first, keys.last) == (move.first, move.last)
+            keys.owner = move.owner
+        fleet.ownership.merge()
+    found = fleet.ownership.ranges
+    assert len(found) <= RANGES_PER_SEAT * len(seats)
+    assert found[0].first == 0
+    assert found[-1].last == KEY_COUNT - 1
+    assert all(
+        lower.last + 1 == upper.first
+        for lower, upper in zip(found, found[1:], strict=False)
+    )
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'owner': B},
+        {'is_held': False},
+        {'call': 3},
+        {'planned': B},
+        {'previous': B},
+        {'revision': 6},
+    ],
+)
+def test_only_settled_ranges_of_one_owner_are_joined(
+    change: dict[str, Any],
+) -> None:
+    """A grant under way, or an unstored fence, that is forgotten."""
+    fleet = Fleet(even_ranges([A, A]))
+    lower, upper = held(fleet.ownership.ranges)
+    fleet.ownership.ranges = [lower, replace(upper, **change)]
+    fleet.ownership.stored_revision = 5
+    fleet.ownership.merge()
+    assert len(fleet.ownership.ranges) == 2
+
+
+def test_joined_range_keeps_the_higher_fence_and_the_later_end() -> None:
+    """Keys that are freed while an earlier grant of them still holds."""
+    fleet = Fleet(even_ranges([A, A]))
+    lower, upper = held(fleet.ownership.ranges)
+    fleet.ownership.ranges = [
+        replace(lower, fence=7, held_until=3.0, doubtful_until=9.0),
+        replace(upper, fence=5, held_until=8.0, sent_until=8.0),
+    ]
+    fleet.ownership.stored_revision = 5
+    fleet.ownership.merge()
+    assert len(fleet.ownership.ranges) == 1
+    joined = fleet.ownership.ranges[0]
+    assert (joined.first, joined.last) == (0, KEY_COUNT - 1)
+    assert joined.fence == 7
+    ends = (joined.held_until, joined.sent_until, joined.doubtful_until)
+    assert ends == (8.0, 8.0, 9.0)
+
+
+def test_row_of_many_ranges_fits_the_store() -> None:
+    """A row of 64 KB or more, which the store refuses."""
+    ranges = fragmented(1000)
+    value = encode_ranges(tuple(ranges), 9)
+    assert len(value) < ROW_BYTES
+    found = decode_ranges(value)
+    assert [keys.first for keys in found] == [keys.first for keys in ranges]
+    assert [keys.owner for keys in found] == [keys.owner for keys in ranges]
+
+
+@pytest.mark.parametrize('value', [b'', b'x\x9c\x00', b'{}', b'[]', b'\xff'])
+def test_unreadable_row_is_an_error(value: bytes) -> None:
+    """A row that ends the reader's task."""
+    with pytest.raises(ValueError):
+        decode_ranges(value)
+
+
 def test_rescue_leaves_no_keys_at_unusable_upstreams() -> None:
     """Keys that stay with an upstream that is out of service."""
     ranges = held(even_ranges([A, B, C]))
