--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -203,7 +203,7 @@
         return state.version
 
     async def _confirm(self, leadership: Leadership) -> None:
-        """Ask the store while the witnesses do not vouch."""
+        """Ask the store while the witnesses do not answer."""
         while not leadership.is_over:
             await asyncio.sleep(CONFIRM_PERIOD_S)
             asked_at = lease_clock()
@@ -354,7 +354,7 @@
                 message = await link.receive(SILENCE_S)
                 self._take_message(row, message)
                 self._feed(link, message)
-                self._vouch(link, message)
+                self._acknowledge(link, message)
         except (PeerError, ValueError) as error:
             return str(error)
         finally:
@@ -405,12 +405,12 @@
             self.relay.set_fed(False)
             self.relay.forward = _forward_to(link)
 
-    def _vouch(self, link: HostLink, message: Message) -> None:
-        """Vouch for the coordinator, as one of its witnesses."""
-        if message.get('kind') != 'vouch':
+    def _acknowledge(self, link: HostLink, message: Message) -> None:
+        """Acknowledge the coordinator, as one of its witnesses."""
+        if message.get('kind') != 'acknowledge':
             return
-        if self.promise.may_vouch(int(message['term'])):
-            link.send({'kind': 'vouch', 'at': message['at']})
+        if self.promise.may_acknowledge(int(message['term'])):
+            link.send({'kind': 'acknowledge', 'at': message['at']})
 
     def _help_out(self) -> None:
         """Try to take over from a coordinator that cannot write."""
@@ -525,9 +525,9 @@
                 if report['kind'] == 'rows':
                     self.relay.told(report)
                     continue
-                if report['kind'] == 'vouch':
+                if report['kind'] == 'acknowledge':
                     at = float(report['at'])
-                    leadership.authority.vouched(member.run, at)
+                    leadership.authority.acknowledged(member.run, at)
                     continue
                 if report.get('ready'):
                     leadership.members.set_ready(link)
--- a/src/oriolearch/core/witnesses.py
+++ b/src/oriolearch/core/witnesses.py
@@ -1,14 +1,14 @@
 """How long a coordinator may act, and when a successor knows that it ended.
 
 The store confirms a coordinator only now and then, and may be away for many
-seconds. Three other hosts, its witnesses, therefore vouch for it as well. A
-successor has a majority of them promise to vouch for it no more, so that it
+seconds. Three other hosts, its witnesses, therefore acknowledge it as well. A
+successor has a majority of them promise to stop that, so that it
 need not wait as long as an outage of the store may last.
 
 Which hosts are the witnesses stands in the store, under the condition that
 the coordinator still leads; a successor reads it once it has taken over. While
 a change of the witnesses may or may not be stored, the coordinator needs the
-word of both groups.
+acknowledgements of both groups.
 """
 
 import json
@@ -20,16 +20,16 @@
 LONG_AUTHORITY_S = 12.0
 # Covers a read of the store each half second, at 50 times the usual 4 ms.
 SHORT_AUTHORITY_S = 2.5
-# Covers four words of a witness, which answers each quarter of a second.
+# Covers four acknowledgements of a witness, each quarter of a second.
 WITNESSED_S = 1.5
 
 
 @dataclass(frozen=True, slots=True)
 class Witness:
-    """One run of a host that vouches for a coordinator.
+    """One run of a host that acknowledges a coordinator.
 
     :param run: unique to the run; a host that starts again knows nothing of
-        its promises and vouches for nobody.
+        its promises and acknowledges no earlier coordinator.
     """
 
     address: str
@@ -78,16 +78,16 @@
     def __init__(self, confirmed_at: float) -> None:
         self.confirmed_at = confirmed_at
         self.groups: list[tuple[Witness, ...]] = [()]
-        self.vouched_at: dict[str, float] = {}
+        self.acknowledged_at: dict[str, float] = {}
 
     def confirm(self, asked_at: float) -> None:
-        """Take the store's word that the coordinator's row is unchanged."""
+        """Take the store's answer that the coordinator's row is unchanged."""
         self.confirmed_at = max(self.confirmed_at, asked_at)
 
-    def vouched(self, run: str, asked_at: float) -> None:
-        """Take a witness's word, asked for at a time."""
-        known = self.vouched_at.get(run, asked_at)
-        self.vouched_at[run] = max(known, asked_at)
+    def acknowledged(self, run: str, asked_at: float) -> None:
+        """Take an acknowledgement of a witness, asked for at a time."""
+        known = self.acknowledged_at.get(run, asked_at)
+        self.acknowledged_at[run] = max(known, asked_at)
 
     def propose(self, group: Iterable[Witness]) -> None:
         """Take that a group may be stored from now on."""
@@ -97,23 +97,23 @@
         """Take that a group is stored."""
         self.groups = [tuple(group)]
         runs = {witness.run for witness in self.groups[0]}
-        self.vouched_at = {
-            run: at for run, at in self.vouched_at.items() if run in runs
+        self.acknowledged_at = {
+            run: at for run, at in self.acknowledged_at.items() if run in runs
         }
 
     def witnessed_until(self, group: tuple[Witness, ...]) -> float:
-        """Give until when a majority of a group vouches."""
-        words = sorted(
+        """Give until when a majority of a group acknowledges it."""
+        times = sorted(
             (
-                self.vouched_at.get(witness.run, float('-inf'))
+                self.acknowledged_at.get(witness.run, float('-inf'))
                 for witness in group
             ),
             reverse=True,
         )
-        return words[len(group) // 2] + WITNESSED_S
+        return times[len(group) // 2] + WITNESSED_S
 
     def until(self) -> float:
-        """Give when the authority ends without further words."""
+        """Give when the authority ends without further acknowledgements."""
         return min(self._until(group) for group in self.groups)
 
     def needs_store(self, now: float) -> bool:
@@ -136,12 +136,12 @@
     def __init__(self) -> None:
         self.term = 0
 
-    def may_vouch(self, term: int) -> bool:
-        """Tell whether the host may vouch for a coordinator's term."""
+    def may_acknowledge(self, term: int) -> bool:
+        """Tell whether the host may acknowledge a coordinator's term."""
         return term > self.term
 
     def withhold(self, term: int) -> None:
-        """Promise to vouch for a term, and those before, no more."""
+        """Promise not to acknowledge a term, or those before, any more."""
         self.term = max(self.term, term)
 
 
@@ -174,7 +174,8 @@
     ) -> bool:
         """Take a witness's answer; tell whether the end is known by now.
 
-        A witness that runs anew vouches for nobody, like one that promised.
+        A witness that runs anew acknowledges the term as little as one that
+        promised.
         """
         if run != witness.run or promised_term >= term:
             self.promised.add(witness.run)
@@ -188,7 +189,7 @@
         return True
 
     def proven(self, now: float) -> None:
-        """Take the word of the predecessor's host that it does not lead."""
+        """Take the answer of the predecessor's host that it does not lead."""
         self.over_at = min(self.over_at, now)
 
 
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -302,7 +302,7 @@
         439,
         logging.INFO,
         ('term', 'witnesses', 'row_version'),
-        'Other hosts vouch for this coordinator.',
+        'Other hosts acknowledge this coordinator.',
     )
     PREDECESSOR_OVER = EventKind(
         440,
--- a/src/oriolearch/gauges.py
+++ b/src/oriolearch/gauges.py
@@ -51,7 +51,7 @@
         ),
         (
             'authority_left_seconds',
-            'How long the coordinator may act without further words.',
+            'How long the coordinator may act without further acknowledgements.',
             [({}, max(left_s, 0))],
         ),
         (
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -209,13 +209,13 @@
             ownership.limit_unknown(until)
 
     def _ask_witnesses(self, now: float) -> None:
-        """Ask the witnesses to vouch for this coordinator."""
+        """Ask the witnesses to acknowledge this coordinator."""
         runs = {
             witness.run for group in self.authority.groups for witness in group
         }
         self.members.tell_runs(
             runs,
-            {'kind': 'vouch', 'term': self.row.term, 'at': now},
+            {'kind': 'acknowledge', 'term': self.row.term, 'at': now},
         )
 
     def _yield_to_larger(self) -> None:
--- a/src/oriolearch/succession.py
+++ b/src/oriolearch/succession.py
@@ -40,7 +40,7 @@
         self.taken_at = lease_clock()
 
     async def run(self) -> None:
-        """Learn who vouched for the predecessor, and have them stop."""
+        """Learn who acknowledges the predecessor, and have them stop."""
         value, version = await self._read_row()
         self.leadership.witness_version = version
         predecessor = self.predecessor
@@ -95,7 +95,7 @@
         predecessor: LeaderRow,
         end: PredecessorEnd,
     ) -> None:
-        """Take its host's word that it runs anew or leads no more."""
+        """Take its host's answer that it runs anew or leads no more."""
         try:
             answer = await ask(predecessor.address, {'kind': 'ask'})
         except PeerError:
@@ -117,7 +117,7 @@
                 {'kind': 'promise', 'term': term},
             )
         except PeerError:
-            # It may be cut off and still vouch: no proof.
+            # It may be cut off and still acknowledge it: no proof.
             return
         promised = answer.get('promised')
         end.answered(
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -291,7 +291,7 @@
         leadership = leader_of(installation).coordination.leadership
         assert leadership is not None
         async with asyncio.timeout(5):
-            while len(leadership.authority.vouched_at) < 2:
+            while len(leadership.authority.acknowledged_at) < 2:
                 await asyncio.sleep(0.05)
         dead = installation.servers[0]
         dead.stop()
--- a/tests/test_witnesses.py
+++ b/tests/test_witnesses.py
@@ -23,12 +23,12 @@
 ROUNDING_S = 1e-9
 
 
-def witnessed(*words: float, confirmed_at: float = 0.0) -> Authority:
+def witnessed(*times: float, confirmed_at: float = 0.0) -> Authority:
     authority = Authority(confirmed_at)
     authority.propose(GROUP)
     authority.adopt(GROUP)
-    for witness, at in zip(GROUP, words, strict=False):
-        authority.vouched(witness.run, at)
+    for witness, at in zip(GROUP, times, strict=False):
+        authority.acknowledged(witness.run, at)
     return authority
 
 
@@ -38,7 +38,7 @@
 
 
 @pytest.mark.parametrize(
-    ('words', 'until'),
+    ('times', 'until'),
     [
         ((), SHORT_AUTHORITY_S),
         ((5.0,), SHORT_AUTHORITY_S),
@@ -48,41 +48,41 @@
     ],
 )
 def test_a_majority_of_witnesses_counts(
-    words: tuple[float, ...],
+    times: tuple[float, ...],
     until: float,
 ) -> None:
     """A coordinator that goes on although a successor thinks it ended."""
-    assert witnessed(*words).until() == until
+    assert witnessed(*times).until() == until
 
 
 def test_both_groups_are_needed_while_a_change_may_be_stored() -> None:
-    """A successor that asks one group while the other still vouches."""
+    """A successor that asks one group while the other still answers."""
     authority = witnessed(5.0, 5.0, 5.0)
     authority.propose((B, C, D))
     assert authority.until() == pytest.approx(5 + WITNESSED_S)
-    authority.vouched(A.run, 7.0)
-    authority.vouched(B.run, 7.0)
+    authority.acknowledged(A.run, 7.0)
+    authority.acknowledged(B.run, 7.0)
     assert authority.until() == pytest.approx(5 + WITNESSED_S)
     authority.adopt((B, C, D))
-    authority.vouched(D.run, 6.0)
+    authority.acknowledged(D.run, 6.0)
     assert authority.until() == pytest.approx(6 + WITNESSED_S)
 
 
 def test_word_of_another_run_does_not_count() -> None:
     """A host that started anew and has forgotten its promise."""
     authority = witnessed(5.0)
-    authority.vouched('another run', 5.0)
+    authority.acknowledged('another run', 5.0)
     assert authority.until() == SHORT_AUTHORITY_S
 
 
 def test_promise_covers_earlier_terms() -> None:
     """A delayed question that brings an old coordinator back."""
     promise = Promise()
-    assert promise.may_vouch(1)
+    assert promise.may_acknowledge(1)
     promise.withhold(3)
     promise.withhold(2)
-    assert not promise.may_vouch(3)
-    assert promise.may_vouch(4)
+    assert not promise.may_acknowledge(3)
+    assert promise.may_acknowledge(4)
 
 
 @pytest.mark.parametrize(
@@ -130,12 +130,12 @@
     ],
 )
 def test_row_that_is_not_of_the_term_names_nobody(row: bytes | None) -> None:
-    """Promises of hosts that did not vouch for the predecessor."""
+    """Promises of hosts that did not acknowledge the predecessor."""
     assert decode_witnesses(row, 4) == ()
 
 
 def test_row_is_read_as_it_was_written() -> None:
-    """A successor that asks other hosts than those that vouch."""
+    """A successor that asks other hosts than those that acknowledge."""
     assert decode_witnesses(WitnessRow(4, GROUP).encode(), 4) == GROUP
 
 
@@ -151,7 +151,7 @@
 class Chance:
     """A predecessor, its witnesses and its successor, at random.
 
-    Words are delayed and lost, changes of the witnesses are stored with and
+    Acknowledgements are delayed and lost, changes of the witnesses are stored with and
     without an answer, and the takeover comes at any time.
     """
 
@@ -168,7 +168,7 @@
     def step(self, now: float) -> None:
         if now < self.taken_at:
             self.lead(now)
-        self.vouch(now)
+        self.acknowledge(now)
         if now >= self.taken_at:
             self.succeed(now)
 
@@ -183,15 +183,15 @@
                 if self.draw(0.5):
                     self.authority.adopt(group)
 
-    def vouch(self, now: float) -> None:
+    def acknowledge(self, now: float) -> None:
         for host in self.hosts:
-            if self.draw(0.6) and self.promises[host].may_vouch(TERM):
+            if self.draw(0.6) and self.promises[host].may_acknowledge(TERM):
                 due = now + self.rng.uniform(0, 3)
                 self.late.append((due, host.run, now))
-        for word in list(self.late):
-            if word[0] <= now:
-                self.late.remove(word)
-                self.authority.vouched(word[1], word[2])
+        for sent in list(self.late):
+            if sent[0] <= now:
+                self.late.remove(sent)
+                self.authority.acknowledged(sent[1], sent[2])
 
     def succeed(self, now: float) -> None:
         if self.end is None:
