--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -17,6 +17,7 @@
     read_owners,
     read_ranges,
 )
+from oriolearch.core.directory import parse_incarnation
 from oriolearch.core.errors import (
     ConditionFailedError,
     HistoryLostError,
@@ -371,8 +372,19 @@
             self.take_owners(pool, read_owners(message), message['whole'])
         elif kind == 'rows':
             self.relay.told(message)
-        elif kind == 'yield' and not self.is_stopping:
+        else:
+            self._take_hint(message)
+
+    def _take_hint(self, message: Message) -> None:
+        kind = message.get('kind')
+        if kind == 'yield' and not self.is_stopping:
             self.spawn(self.try_takeover('the coordinator is a small host'))
+        elif kind == 'cold':
+            self.registry.note_cold(
+                asyncio.get_running_loop().time(),
+                parse_incarnation(str(message['upstream'])),
+                float(message['for']),
+            )
 
     def _take_beat(self, row: LeaderRow, message: Message) -> None:
         if self.heard_term != row.term:
--- a/src/oriolearch/granting.py
+++ b/src/oriolearch/granting.py
@@ -1,9 +1,11 @@
 """Carries out grants, releases and probes, and takes their outcome."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 from oriolearch.adapters.upstream_links import LinkError
 from oriolearch.clock import lease_clock
+from oriolearch.core.directory import Incarnation
 from oriolearch.core.errors import GrantRefusedError
 from oriolearch.core.ownership import Grant, KeyOwnership, Probe, Release
 from oriolearch.eventlog import Event, EventLog
@@ -19,19 +21,27 @@
     async def release(self, call: Release) -> str | None:
         """Take keys back; gives what the next owner is to be given."""
 
-    async def probe(self, call: Probe, health_path: str) -> None:
-        """Ask an upstream for a sign of life; raises without any."""
+    async def probe(self, call: Probe, health_path: str) -> float:
+        """Ask an upstream for a sign of life; raises without any.
+
+        :returns: how much longer it is cold, in seconds.
+        """
 
 
 class Granting:
-    """Calls upstreams for a coordinator."""
+    """Calls upstreams for a coordinator.
+
+    :param tell_cold: tells all hosts how much longer an upstream is cold.
+    """
 
     def __init__(
         self,
         grants: GrantPort,
         registry: Registry,
         log: EventLog,
+        tell_cold: Callable[[Incarnation, float], None],
     ) -> None:
+        self.tell_cold = tell_cold
         self.grants = grants
         self.registry = registry
         self.log = log
@@ -95,8 +105,9 @@
         """Ask an upstream that missed a call for a sign of life."""
         directory = self.registry.directory
         plan = directory.pools.get(pool) if directory else None
+        path = plan.health_path if plan else '/'
         try:
-            await self.grants.probe(effect, plan.health_path if plan else '/')
+            cold_s = await self.grants.probe(effect, path)
         except LinkError:
             # The first failure was logged; the upstream stays silent.
             return
@@ -104,6 +115,10 @@
             if error.is_replaced:
                 ownership.ended.add(effect.upstream.ref)
             return
+        if cold_s:
+            # It may have started again, which its entry tells only once the
+            # store is back.
+            self.tell_cold(effect.upstream.ref, cold_s)
         ownership.heard(lease_clock(), effect.upstream.ref)
 
     def _log_failure(self, effect: Grant | Release, reason: str) -> None:
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -108,7 +108,7 @@
         self.row = row
         self.row_version = row_version
         self.store = store
-        self.granting = Granting(grants, registry, log)
+        self.granting = Granting(grants, registry, log, self._tell_cold)
         self.registry = registry
         self.log = log
         self.spawn = spawn
@@ -208,6 +208,13 @@
         for ownership in self.pools.values():
             ownership.limit_unknown(until)
 
+    def _tell_cold(self, ref: Incarnation, cold_s: float) -> None:
+        now = asyncio.get_running_loop().time()
+        self.registry.note_cold(now, ref, cold_s)
+        self.members.tell_all(
+            {'kind': 'cold', 'upstream': ref.text(), 'for': cold_s},
+        )
+
     def _ask_witnesses(self, now: float) -> None:
         """Ask the witnesses to acknowledge this coordinator."""
         runs = {
--- a/src/oriolearch/platform/wire.py
+++ b/src/oriolearch/platform/wire.py
@@ -80,7 +80,6 @@
             answer.status == MISDIRECTED or answer.header(NOT_RUN) is not None
         )
         load = _numbers(answer.header(LOAD))
-        cold = answer.header(COLD_MS) or b''
         return Verdict(
             is_not_run=is_not_run and answer.status in _NOT_RUN_STATUSES,
             is_misdirected=answer.status == MISDIRECTED,
@@ -89,7 +88,7 @@
                 and answer.header(b'content-encoding') is None
             ),
             load=sum(load[:2]) if len(load) > 2 else None,
-            cold_for_s=int(cold) / 1000 if cold.isdigit() else 0.0,
+            cold_for_s=_cold_s(answer),
         )
 
 
@@ -134,9 +133,10 @@
         handover = answer.header(HANDOVER)
         return handover.decode('latin-1') if handover else None
 
-    async def probe(self, call: Probe, health_path: str) -> None:
+    async def probe(self, call: Probe, health_path: str) -> float:
         """Ask an upstream for a sign of life.
 
+        :returns: how much longer it is cold, in seconds.
         :raises LinkError: when no answer came.
         :raises GrantRefusedError: when another upstream is at the address.
         """
@@ -151,6 +151,7 @@
         )
         if _is_another(call.upstream, answer):
             raise GrantRefusedError(call.upstream.address, MISDIRECTED)
+        return _cold_s(answer)
 
     def _pool(self, upstream: UpstreamEntry) -> LinkPool:
         pool = self.pools.get(upstream.address)
@@ -204,3 +205,8 @@
 def _numbers(text: bytes | None) -> list[int]:
     parts = (text or b'').split(b',')
     return [int(part) for part in parts if part.strip().isdigit()]
+
+
+def _cold_s(answer: Answer) -> float:
+    cold = answer.header(COLD_MS) or b''
+    return int(cold) / 1000 if cold.isdigit() else 0.0
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -444,6 +444,37 @@
     play(scene)
 
 
+def test_server_that_starts_again_while_the_store_is_away_is_cold() -> None:
+    """A cold server that gets its full share, as its entry is not read.
+
+    Seen in the hunt on iped-pares (deploy/days/store-outages.toml, seed
+    443434850684): 14 requests in one second, 12 were allowed.
+    """
+
+    async def scene(installation: Installation) -> None:
+        server = installation.servers[0]
+        installation.store.is_down = True
+        server.stop()
+        server.grants.clear()
+        await asyncio.sleep(0.9)
+        server.cold_ms = 3000
+        await server.listen_again()
+        async with asyncio.timeout(2):
+            while not all(
+                is_cold(host, server.name) for host in installation.hosts
+            ):
+                await asyncio.sleep(0.05)
+        installation.store.is_down = False
+
+    play(scene, hosts=2)
+
+
+def is_cold(host: HostDaemon, name: str) -> bool:
+    now = asyncio.get_running_loop().time()
+    entry = host.registry.entries.get(name)
+    return entry is not None and host.registry.is_cold(now, entry.ref)
+
+
 def test_lost_answers_of_the_store() -> None:
     """A move whose write was done although its answer was lost."""
 
