Accept all hosts that connect to a new coordinator at once

Cause: the queue of connections held 100 and 84 hosts connect twice, so some opening packets were dropped and taken for a lost coordinator.

--- a/src/oriolearch/adapters/host_links.py
+++ b/src/oriolearch/adapters/host_links.py
@@ -18,6 +18,7 @@
 
 LARGEST_LINE = 4 * 1024 * 1024  # bytes; owners of all keys of a large pool
 CONNECT_TIMEOUT_S = 0.5  # hosts are a few milliseconds apart
+BACKLOG = 512  # hosts that connect to a new coordinator at once
 UNSENT_BYTES = 1024 * 1024  # a host that reads too little is disconnected
 
 PACKED_FROM = 2048  # bytes of a message; smaller ones gain little
@@ -150,4 +151,5 @@
         host,
         port,
         limit=LARGEST_LINE,
+        backlog=BACKLOG,
     )
--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -50,7 +50,7 @@
 CONSULTED = 8  # other hosts that are asked before a takeover
 # A coordinator that all hosts connect to at once may be slow to accept; a
 # host that has just started knows no others to ask.
-CONNECTS_MISSED = 3
+CONNECTS_MISSED = 2
 SILENCE_S = 1.0  # without a beat for so long, the coordinator counts as lost
 REPORT_PERIOD_S = 0.2  # counts of keys are sent this often
 RECONNECT_S = 0.1  # a refused connection is tried again after this
