Plan no merges for a pool without upstreams

Cause, found in review: the plan that joins small ranges divides by the weight of all upstreams. A pool that has lost all of them ended the coordinator's task with ZeroDivisionError, so that no key of any pool was renewed until another host took over. The other two plans had the check.

--- a/src/oriolearch/core/balance.py
+++ b/src/oriolearch/core/balance.py
@@ -175,7 +175,7 @@
 
     Parts that were hot stay apart otherwise, and their number only grows.
     """
-    if len(ranges) <= RANGES_PER_SEAT * len(seats):
+    if not seats or len(ranges) <= RANGES_PER_SEAT * len(seats):
         return []
     return _Merge(ranges, seats, rates).make()
 
--- a/tests/test_key_ownership.py
+++ b/tests/test_key_ownership.py
@@ -10,6 +10,7 @@
 from oriolearch.core.balance import (
     RANGES_PER_SEAT,
     KeyRates,
+    Move,
     Seat,
     plan_balance,
     plan_merge,
@@ -557,6 +558,14 @@
     )
 
 
+@pytest.mark.parametrize('plan', [plan_balance, plan_merge, plan_rescue])
+def test_pool_without_upstreams_moves_nothing(
+    plan: Callable[..., list[Move]],
+) -> None:
+    """A coordinator that ends its work when a pool has lost all upstreams."""
+    assert plan(fragmented(4), [], KeyRates({100: 5.0})) == []
+
+
 @pytest.mark.parametrize(
     'change',
     [
