--- a/src/oriolearch/core/balance.py
+++ b/src/oriolearch/core/balance.py
@@ -142,15 +142,13 @@
     if not seats:
         return []
     found = list(ranges)
-    weights = {seat.ref: seat.weight for seat in seats}
-    loads = _loads(found, weights, rates)
+    shares = _Shares(found, seats, rates)
     moves = []
     for keys in found:
-        if keys.owner in weights:
+        if keys.owner in shares.weights:
             continue
-        ratios = {ref: loads[ref] / weights[ref] for ref in weights}
-        ref = min(ratios, key=ratios.__getitem__)
-        loads[ref] += rates.between(keys.first, keys.last)
+        ref = shares.idlest()
+        shares.loads[ref] += rates.between(keys.first, keys.last)
         moves.append(Move(keys.first, keys.last, ref))
     return moves
 
@@ -163,7 +161,8 @@
     """Move keys from the busiest upstreams to those with the most room."""
     if len(seats) < 2:
         return []
-    return _Plan(list(ranges), seats, rates).make()
+    found = list(ranges)
+    return _Plan(found, _Shares(found, seats, rates), rates).make()
 
 
 def plan_merge(
@@ -177,23 +176,53 @@
     """
     if not seats or len(ranges) <= RANGES_PER_SEAT * len(seats):
         return []
-    return _Merge(ranges, seats, rates).make()
+    return _Merge(ranges, _Shares(ranges, seats, rates), rates).make()
+
+
+class _Shares:
+    """Loads of upstreams against what each should have.
+
+    :ivar mean: load for each unit of weight.
+    """
+
+    def __init__(
+        self,
+        ranges: Iterable[KeyRange],
+        seats: Iterable[Seat],
+        rates: KeyRates,
+    ) -> None:
+        self.weights = {seat.ref: seat.weight for seat in seats}
+        self.loads = dict.fromkeys(self.weights, 0.0)
+        for keys in ranges:
+            if keys.owner in self.loads:
+                rate = rates.between(keys.first, keys.last)
+                self.loads[keys.owner] += rate
+        self.mean = sum(self.loads.values()) / sum(self.weights.values())
+
+    def ratio(self, ref: Incarnation) -> float:
+        return self.loads[ref] / self.weights[ref]
+
+    def idlest(self) -> Incarnation:
+        return min(self.weights, key=self.ratio)
+
+    def usual(self, ref: Incarnation) -> float:
+        return self.mean * self.weights[ref]
 
 
 class _Merge:
     def __init__(
         self,
         ranges: Sequence[KeyRange],
-        seats: Sequence[Seat],
+        shares: _Shares,
         rates: KeyRates,
     ) -> None:
         self.ranges = ranges
         self.rates = [rates.between(keys.first, keys.last) for keys in ranges]
-        weights = {seat.ref: seat.weight for seat in seats}
-        loads = _loads(ranges, weights, rates)
-        self.mean = sum(loads.values()) / sum(weights.values())
+        self.mean = shares.mean
         self.has_room = {
-            ref for ref in weights if loads[ref] < self.mean * weights[ref]
+            ref
+            for ref in shares.weights
+            if shares.loads[ref] < shares.usual(ref)
         }
         self.touched: set[int] = set()
 
@@ -230,16 +259,14 @@
     def __init__(
         self,
         ranges: Sequence[KeyRange],
-        seats: Sequence[Seat],
+        shares: _Shares,
         rates: KeyRates,
     ) -> None:
         self.rates = rates
-        self.weights = {seat.ref: seat.weight for seat in seats}
-        self.loads = _loads(ranges, self.weights, rates)
-        self.mean = sum(self.loads.values()) / sum(self.weights.values())
+        self.shares = shares
         self.movable: dict[Incarnation, list[Span]] = {}
         for keys in ranges:
-            if keys.owner in self.weights and keys.is_held and not keys.call:
+            if keys.owner in shares.weights and keys.is_held and not keys.call:
                 span = Span(keys.first, keys.last)
                 self.movable.setdefault(keys.owner, []).append(span)
         self.moves: list[Move] = []
@@ -255,32 +282,30 @@
         return self.moves
 
     def _busiest(self, exhausted: set[Incarnation]) -> Incarnation | None:
-        ratios = {
-            ref: self.loads[ref] / weight
-            for ref, weight in self.weights.items()
+        busy = (
+            ref
+            for ref in self.shares.weights
             if ref not in exhausted and self._is_busy(ref)
-        }
-        return max(ratios, key=ratios.__getitem__) if ratios else None
+        )
+        return max(busy, key=self.shares.ratio, default=None)
 
     def _is_busy(self, ref: Incarnation) -> bool:
-        usual = self.mean * self.weights[ref]
+        usual = self.shares.usual(ref)
         by_chance = math.sqrt(usual * self.rates.variance)
         limit = max(usual * OVERLOAD, usual + SIGNIFICANT * by_chance)
-        return self.loads[ref] > limit
+        return self.shares.loads[ref] > limit
 
     def _relieve(self, busiest: Incarnation) -> bool:
         """Move one part of an upstream's keys; tell whether it helps."""
-        ratios = {
-            ref: self.loads[ref] / self.weights[ref] for ref in self.loads
-        }
-        idlest = min(ratios, key=ratios.__getitem__)
-        excess = self.loads[busiest] - self.mean * self.weights[busiest]
-        room = self.mean * self.weights[idlest] - self.loads[idlest]
+        shares = self.shares
+        idlest = shares.idlest()
+        excess = shares.loads[busiest] - shares.usual(busiest)
+        room = shares.usual(idlest) - shares.loads[idlest]
         part = self._part_of(busiest, min(excess, room))
         if part is None:
             return False
         rate = part.rate
-        is_small = rate < LEAST_GAIN * self.mean * self.weights[idlest]
+        is_small = rate < LEAST_GAIN * shares.usual(idlest)
         if is_small or rate > excess + room:
             return False
         self.movable[busiest].remove(part.whole)
@@ -290,8 +315,8 @@
             # side go to several upstreams at once.
             self.movable[busiest].append(rest)
         self.moves.append(Move(part.span.first, part.span.last, idlest))
-        self.loads[busiest] -= rate
-        self.loads[idlest] += rate
+        shares.loads[busiest] -= rate
+        shares.loads[idlest] += rate
         return True
 
     def _part_of(self, owner: Incarnation, wanted: float) -> Part | None:
@@ -304,15 +329,3 @@
             for part in self.rates.cut(keys, wanted)
         )
         return min(parts, key=lambda part: part.rank(wanted), default=None)
-
-
-def _loads(
-    ranges: Iterable[KeyRange],
-    refs: Iterable[Incarnation],
-    rates: KeyRates,
-) -> dict[Incarnation, float]:
-    loads = dict.fromkeys(refs, 0.0)
-    for keys in ranges:
-        if keys.owner in loads:
-            loads[keys.owner] += rates.between(keys.first, keys.last)
-    return loads
