Keep unknown grants apart from those of this term

Cause, found while a red host test was traced: a grant that was refused a connection restored held_until, the end of all grants that a predecessor may have given, as the end of one that this coordinator sent. The proof that the predecessor is over then did not shorten it, and a move that began after the proof waited for up to 15 s in place of 3.

The test without network fails on the code before.

--- a/src/oriolearch/core/ownership.py
+++ b/src/oriolearch/core/ownership.py
@@ -45,11 +45,12 @@
 
     :ivar owner: the upstream that the stored row names.
     :ivar previous: may still hold the keys; is released first.
-    :ivar held_until: end of the latest grant that the owner may have.
+    :ivar unknown_until: end of the latest grant that a predecessor may have
+        given the owner; 0 once the owner has confirmed a later one.
     :ivar sent_until: end of the latest grant that this coordinator sent.
     :ivar transfer_token: what the previous owner gave for the next one, which
         then has the keys warm.
-    :ivar prior_until: ``held_until`` before the grant under way.
+    :ivar prior_until: ``sent_until`` before the grant under way.
     :ivar doubtful_until: end of the latest grant without an answer. It may
         be applied after a release.
     :ivar free_at: end of the latest grant that the previous owner may have.
@@ -67,7 +68,7 @@
     fence: int
     previous: Incarnation | None = None
     transfer_token: str | None = None
-    held_until: float = 0.0
+    unknown_until: float = 0.0
     sent_until: float = 0.0
     prior_until: float = 0.0
     doubtful_until: float = 0.0
@@ -80,6 +81,11 @@
     is_held: bool = False
     call: int = 0
 
+    @property
+    def held_until(self) -> float:
+        """Give the end of the latest grant that the owner may have."""
+        return max(self.unknown_until, self.sent_until)
+
     @property
     def is_settled(self) -> bool:
         """Tell whether the owner holds the keys and nothing is under way."""
@@ -173,7 +179,7 @@
         self.changed: list[OwnedRange] = []
         for keys in self.ranges:
             keys.fence = self.next_fence()
-            keys.held_until = unknown_until
+            keys.unknown_until = unknown_until
             keys.free_at = unknown_until
             keys.settled_at = now + hold_s * CLOCK_SHARE + CLOCK_MARGIN_S
             if keys.previous is not None:
@@ -202,10 +208,7 @@
     def limit_unknown(self, until: float) -> None:
         """Set the end of all grants that the predecessor may have given."""
         for keys in self.ranges:
-            keys.held_until = min(
-                keys.held_until,
-                max(until, keys.sent_until),
-            )
+            keys.unknown_until = min(keys.unknown_until, until)
             keys.free_at = min(keys.free_at, max(until, keys.settled_at))
 
     def move(
@@ -313,7 +316,7 @@
             return
         keys.due_at = sent_at + self.renew_s
         # From here on the upstream refuses grants of a predecessor.
-        keys.held_until = keys.sent_until
+        keys.unknown_until = 0.0
         if keys.is_held:
             return
         keys.is_held = True
@@ -348,7 +351,6 @@
         keys = self._end_call(call)
         if keys is not None:
             keys.due_at = now + RETRY_S
-            keys.held_until = keys.prior_until
             keys.sent_until = keys.prior_until
 
     def unanswered(self, now: float, call: int) -> None:
@@ -421,7 +423,7 @@
         keys.planned = None
         if keys.sent_until:
             keys.transfer_token = None
-        keys.held_until = 0.0
+        keys.unknown_until = 0.0
         keys.sent_until = 0.0
         keys.doubtful_until = 0.0
         keys.is_held = False
@@ -468,9 +470,8 @@
         if not call:
             return None
         hold_s = self.hold_s * CLOCK_SHARE + CLOCK_MARGIN_S
-        keys.prior_until = keys.held_until
+        keys.prior_until = keys.sent_until
         keys.sent_until = now + CALL_TIMEOUT_S + hold_s
-        keys.held_until = max(keys.held_until, keys.sent_until)
         return Grant(
             call,
             upstream,
@@ -526,7 +527,7 @@
         lower,
         last=upper.last,
         fence=max(lower.fence, upper.fence),
-        held_until=max(lower.held_until, upper.held_until),
+        unknown_until=max(lower.unknown_until, upper.unknown_until),
         sent_until=max(lower.sent_until, upper.sent_until),
         prior_until=max(lower.prior_until, upper.prior_until),
         doubtful_until=max(lower.doubtful_until, upper.doubtful_until),
--- a/tests/test_key_ownership.py
+++ b/tests/test_key_ownership.py
@@ -283,6 +283,30 @@
     assert fleet.owner(0) == B
 
 
+def test_proof_comes_after_a_call_that_was_not_sent() -> None:
+    """Keys of an ended upstream that wait for grants nobody can have given.
+
+    A grant that was refused a connection left the end of all unknown grants
+    as if it had been sent itself, so the proof had no effect for a move that
+    began after it: 15 s without an owner in place of 3.
+    """
+    fleet = Fleet(even_ranges([A, B]), unknown_until=15.0)
+    fleet.carry_out(fleet.ownership.step(0.0)[0])
+    grant, _ = fleet.ownership.step(0.0)
+    assert isinstance(grant, Grant)
+    fleet.ownership.silent(0.0, A)
+    fleet.ownership.unsent(0.0, grant.call)
+    fleet.ownership.call_ended(A)
+    fleet.silent.add(A)
+    assert fleet.ownership.find(0).held_until == pytest.approx(15)
+    fleet.ownership.limit_unknown(3.0)
+    assert fleet.ownership.move(fleet.now, 0, KEY_COUNT // 2 - 1, B)
+    fleet.run(2.8)
+    assert fleet.owner(0) is None
+    fleet.run(0.6)
+    assert fleet.owner(0) == B
+
+
 def test_expected_time_of_an_owner() -> None:
     """A request that waits for an owner which cannot come in time."""
     fleet = started(A, B)
@@ -594,8 +618,8 @@
     fleet = Fleet(even_ranges([A, A]))
     lower, upper = held(fleet.ownership.ranges)
     fleet.ownership.ranges = [
-        replace(lower, fence=7, held_until=3.0, doubtful_until=9.0),
-        replace(upper, fence=5, held_until=8.0, sent_until=8.0),
+        replace(lower, fence=7, unknown_until=3.0, doubtful_until=9.0),
+        replace(upper, fence=5, sent_until=8.0),
     ]
     fleet.ownership.stored_revision = 5
     fleet.ownership.merge()
