Release an Idempotency-Key before the end of the answer is sent

Cause: the entry released the key when it closed the exchange, after the answer had been sent.

The key is released before the last bytes of an answer or of a refusal are sent; the attempts of a refused request are ended before. A claim is released once, so that the end of a request cannot release the claim of the next one.

--- a/src/oriolearch/adapters/dispatch.py
+++ b/src/oriolearch/adapters/dispatch.py
@@ -1,5 +1,6 @@
 """Runs the attempts of a request and passes the answer to its caller."""
 
+import math
 import random
 import threading
 import time
@@ -159,6 +160,7 @@
         exchange.answer = None
         try:
             self._stream_body(exchange, answer)
+            exchange.release_idempotency_key()
             exchange.request.finish()
         except OSError as error:
             raise CallerGoneError from error
@@ -591,6 +593,7 @@
             if body is None:
                 exchange.answer = answer
                 return
+            exchange.release_idempotency_key()
             if body:
                 request.send(body)
             request.finish()
@@ -602,9 +605,14 @@
     ) -> None:
         running = answer.attempt
         running.use_stall_timeout()
+        request = exchange.request
+        left = answer_length(answer, request.head.method) or math.inf
         try:
             for piece in answer.pieces():
-                exchange.request.send(piece)
+                left -= len(piece)
+                if left <= 0:
+                    exchange.release_idempotency_key()
+                request.send(piece)
         except AttemptError as error:
             self._handle_failure(exchange, running.attempt_id, error)
             raise AnswerBrokenError from error
--- a/src/oriolearch/adapters/entry.py
+++ b/src/oriolearch/adapters/entry.py
@@ -303,6 +303,7 @@
         try:
             status = step(exchange)
         except RefusedError as refusal:
+            self._end_attempts(exchange)
             request_id = exchange.request_id
             self._log_and_send_refusal(request, refusal, request_id, pool)
             return f'refused-{refusal.outcome}'
@@ -331,16 +332,18 @@
     def _report_server(self, message: str) -> None:
         self.telemetry.events.emit(Event.CALLER_ERROR, text=message)
 
-    def _close_exchange(self, exchange: Exchange, outcome: str) -> None:
+    def _end_attempts(self, exchange: Exchange) -> None:
         try:
             self.dispatcher.close(exchange)
         except InvariantError as error:
             self._report_error(error)
+        exchange.release_idempotency_key()
+
+    def _close_exchange(self, exchange: Exchange, outcome: str) -> None:
+        self._end_attempts(exchange)
         # Only after its attempts have ended, since running_orders must list
         # them until then.
         self.exchanges.pop(exchange.request_id, None)
-        if exchange.idempotency_key is not None:
-            self.running_idempotency_keys.discard(exchange.idempotency_key)
         seconds = time.monotonic() - exchange.request.arrived_at
         pool = exchange.pool.name
         self.telemetry.latencies.record(pool, outcome, seconds)
@@ -441,6 +444,7 @@
                     'a request with this Idempotency-Key is running',
                 )
             self.running_idempotency_keys.add(idempotency_key)
+        exchange.claimed_keys = self.running_idempotency_keys
         exchange.idempotency_key = idempotency_key
 
     def _watch_running(self) -> None:
--- a/src/oriolearch/adapters/exchange.py
+++ b/src/oriolearch/adapters/exchange.py
@@ -143,10 +143,13 @@
     :ivar answer: an answer whose body is still to be passed to the caller.
     :ivar view: the view in which the owner of the key was looked up.
     :ivar owner: the owner that the order is sent to.
+    :ivar idempotency_key: pool and ``Idempotency-Key`` that it has claimed.
+    :ivar claimed_keys: the claims of all running requests of the host.
     """
 
     __slots__ = (
         'answer',
+        'claimed_keys',
         'idempotency_key',
         'deadline',
         'pool_state',
@@ -189,6 +192,7 @@
         self.key: str | None = None
         self.headers: dict[str, str] = {}
         self.idempotency_key: tuple[str, str] | None = None
+        self.claimed_keys: set[tuple[str, str]] = set()
         self.trace: Trace | None = None
         self.ticket: Ticket | None = None
         self.running: dict[str, RunningAttempt] = {}
@@ -211,3 +215,15 @@
             wake.set()
         for attempt in tuple(self.running.values()):
             attempt.cancel(failure)
+
+    def release_idempotency_key(self) -> None:
+        """Allow another request with the same ``Idempotency-Key``.
+
+        Called before the end of the answer is sent, because the caller's next
+        request may arrive at once. Later calls do nothing: the key may have
+        been claimed again since.
+        """
+        claimed = self.idempotency_key
+        self.idempotency_key = None
+        if claimed is not None:
+            self.claimed_keys.discard(claimed)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -10,7 +10,7 @@
 import pytest
 
 from oriolearch.adapters.callers import CallerLimits
-from oriolearch.adapters.exchange import ServerClockReading
+from oriolearch.adapters.exchange import Exchange, ServerClockReading
 from oriolearch.core.model import Fencing
 from tests.conftest import StartedEntry
 from tests.entries import WAIT_S, Result, call, make_view, wait_until
@@ -131,6 +131,49 @@
     assert call(address, 'POST', '/files/a', b'', headers).status == 200
 
 
+LONG_BODY = b'x' * 300000  # is sent in several pieces
+
+
+@pytest.mark.parametrize('body', [b'short', LONG_BODY])
+def test_idempotency_key_is_free_once_the_answer_has_arrived(
+    upstream: UpstreamFactory,
+    start: Start,
+    body: bytes,
+) -> None:
+    """A caller's next request must not be refused as a duplicate.
+
+    The key was released only after the whole answer had been sent, so that
+    the next request could arrive before that.
+    """
+    fake = upstream(lambda call: call.answer(body))
+    entry, address = start(make_view((fake.address,)))
+    close_exchange = entry._close_exchange
+
+    def close_late(exchange: Exchange, outcome: str) -> None:
+        time.sleep(0.05)
+        close_exchange(exchange, outcome)
+
+    entry._close_exchange = close_late  # type: ignore[method-assign]
+    headers = {'Idempotency-Key': 'x'}
+    results = [
+        call(address, 'POST', '/files/a', b'', headers) for _ in range(3)
+    ]
+    assert {result.status for result in results} == {200}
+    assert results[-1].body == body
+
+
+def test_late_close_keeps_the_claim_of_the_next_request() -> None:
+    """The end of a request must not release a key that is claimed again."""
+    claims = {('plain', 'x')}
+    exchange = Exchange.__new__(Exchange)
+    exchange.claimed_keys = claims
+    exchange.idempotency_key = ('plain', 'x')
+    exchange.release_idempotency_key()
+    claims.add(('plain', 'x'))
+    exchange.release_idempotency_key()
+    assert claims
+
+
 def refuse_as_not_owner(call: ReceivedRequest) -> None:
     """Refuse as a server does that does not own the key."""
     call.read_body()
