Bound every part of an upstream's response; do not retry on the same connection

Causes: - Only the body of a response had a bound. Header lines, header values, trailers, chunk extensions and interim responses without end filled the memory (823 MB in 4 s of header lines) or held the request until its deadline. - Responses are matched by request id alone. A keyed request that was refused is sent again with the same id, often on the same connection. An upstream that wrote its refusal once more answered the second attempt with it while it ran the request, so that the caller got a 503 for a request that ran. - Trailers were added to the headers, where they could pass for an id.

Heads, interim responses, trailers and chunk extensions of a response share a bound of 64 KB; each chunk allows 16 more bytes. A request is never sent again on a connection that carried it before.

A host applies its limits on retries when it starts. It had no retries for the first half second.

Tests: test_endless_response_ends_the_connection (six of ten cases fail before, the peak of memory is bounded), test_trailers_are_no_headers, test_repeated_refusal_is_not_the_response_to_a_retry; on the path through a host test_refused_by_a_repeated_answer and test_answer_without_end_fails_at_once (both fail before) and test_mixed_repeated_answers_reach_no_other_caller.

--- a/src/oriolearch/adapters/upstream_links.py
+++ b/src/oriolearch/adapters/upstream_links.py
@@ -21,6 +21,11 @@
 IDLE_MARGIN_S = 1.0  # stop reusing a connection this long before it expires
 DEFAULT_IDLE_S = 4.0  # keep-alive of an upstream that sends no timeout
 MAX_RESPONSE_BODY_BYTES = 4 * 1024 * 1024  # bodies are buffered
+# Heads, interim responses, trailers and chunk extensions of one response. A
+# faulty peer may send any of these without end.
+MAX_RESPONSE_OVERHEAD_BYTES = 64 * 1024
+MAX_CHUNK_FRAMING_BYTES = 16  # size line and line ends of a chunk
+MAX_INTERIM_RESPONSES = 8  # 1xx responses before the final one
 UNLIMITED_IDLE_S = float('inf')  # only the keep-alive timeout applies
 MAX_STALE_RESPONSES = 2  # of earlier requests, skipped per connection
 
@@ -94,6 +99,8 @@
     :ivar request_count: number of requests that were sent on it.
     :ivar is_unusable: the connection must not carry another request.
     :ivar is_delimited: the end of the body is known without a close.
+    :ivar overhead: received bytes of the exchange other than bodies.
+    :ivar overhead_limit: bound on ``overhead``; grows with each chunk.
     """
 
     def __init__(self, address: str, on_lost: Callable[['Link'], None]):
@@ -104,6 +111,9 @@
         self.response = HttpResponse()
         self.chunks: list[bytes] = []
         self.size = 0
+        self.overhead = 0
+        self.overhead_limit = 0
+        self.interim_count = 0
         self.pending: asyncio.Future[HttpResponse] | None = None
         self.accepts: Callable[[HttpResponse], bool] = _accept_any
         self.request_count = 0
@@ -123,6 +133,9 @@
         self.response = HttpResponse()
         self.chunks = []
         self.size = 0
+        self.overhead = 0
+        self.overhead_limit = MAX_RESPONSE_OVERHEAD_BYTES
+        self.interim_count = 0
         self.is_delimited = False
         self.has_head = False
 
@@ -145,11 +158,16 @@
             self.is_unusable = True
             self.close()
             return
+        self.overhead += len(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            self.is_unusable = True
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
             self._fail(f'malformed answer: {error}')
+        if self.overhead > self.overhead_limit:
+            self._fail('head or framing of the answer too large')
 
     def eof_received(self) -> bool:
         """End a response that is delimited by the end of the stream."""
@@ -217,8 +235,9 @@
         return now - self.idle_since < self.idle_s - IDLE_MARGIN_S
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Add a header to the response."""
-        self.response.headers.append((name.lower(), text))
+        """Add a header to the response; ignore trailers."""
+        if not self.has_head:
+            self.response.headers.append((name.lower(), text))
 
     def on_headers_complete(self) -> None:
         """Read status, framing and keep-alive from the headers."""
@@ -241,15 +260,22 @@
     def on_body(self, data: bytes) -> None:
         """Add a part of the body, up to the size limit."""
         self.size += len(data)
+        self.overhead -= len(data)
         if self.size > MAX_RESPONSE_BODY_BYTES:
-            self.is_unusable = True
             self._fail('answer too large')
             return
         self.chunks.append(data)
 
+    def on_chunk_header(self) -> None:
+        """Allow for the framing of another chunk."""
+        self.overhead_limit += MAX_CHUNK_FRAMING_BYTES
+
     def on_message_complete(self) -> None:
         """Complete the pending request; skip interim (1xx) responses."""
         if self.response.status < 200:
+            self.interim_count += 1
+            if self.interim_count > MAX_INTERIM_RESPONSES:
+                self._fail('too many interim answers')
             self._discard_response()
             return
         if not self.parser.should_keep_alive():
@@ -330,18 +356,25 @@
         timeout_s: float,
         accepts: Callable[[HttpResponse], bool] | None = None,
         max_idle_s: float = UNLIMITED_IDLE_S,
+        carriers: set[Link] | None = None,
     ) -> HttpResponse:
         """Send a request on an idle or new connection.
 
         :param max_idle_s: a connection that was idle for this long is not
             used; 0 always opens a new one.
+        :param carriers: connections that carried the request before; the one
+            that is used is added. None of them is used again, because a
+            repeated response to an earlier attempt, such as a refusal, cannot
+            be distinguished from the response to this one.
         :raises LinkError: when no complete response arrived in time.
         """
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + timeout_s
-        link = self._pop_idle(loop.time(), max_idle_s)
+        link = self._pop_idle(loop.time(), max_idle_s, carriers or set())
         if link is None:
             link = await self._open(min(timeout_s, self.connect_s))
+        if carriers is not None:
+            carriers.add(link)
         remaining_s = max(ends_at - loop.time(), 0.001)
         try:
             return await link.exchange(
@@ -371,15 +404,22 @@
                 self.idle.remove(link)
                 link.close()
 
-    def _pop_idle(self, now: float, max_idle_s: float) -> Link | None:
+    def _pop_idle(
+        self,
+        now: float,
+        max_idle_s: float,
+        excluded: set[Link],
+    ) -> Link | None:
         """Return the most recently used idle connection, if any."""
-        while self.idle:
-            link = self.idle[-1]
-            if link.is_reusable(now):
-                if now - link.idle_since >= max_idle_s:
-                    return None
-                return self.idle.pop()
-            self.idle.pop().close()
+        for link in reversed(self.idle.copy()):
+            if not link.is_reusable(now):
+                self.idle.remove(link)
+                link.close()
+            elif now - link.idle_since >= max_idle_s:
+                return None
+            elif link not in excluded:
+                self.idle.remove(link)
+                return link
         return None
 
     async def _open(self, timeout_s: float) -> Link:
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -10,6 +10,7 @@
 from oriolearch.adapters.upstream_links import (
     UNLIMITED_IDLE_S,
     HttpResponse,
+    Link,
     LinkError,
     LinkPool,
 )
@@ -105,6 +106,7 @@
     :ivar possible_arrivals: attempts that may have reached an upstream.
     :ivar is_expired: its deadline passed and an upstream may have run it.
     :ivar tried: upstreams of earlier attempts, avoided by a retry.
+    :ivar carriers: connections of earlier attempts, not used by a retry.
     """
 
     def __init__(
@@ -131,6 +133,7 @@
         self.key = head.key or 0
         self.owner: Incarnation | None = None
         self.tried: frozenset[Incarnation] = frozenset()
+        self.carriers: set[Link] = set()
 
     def make_queued_request(self, zone: str) -> QueuedRequest:
         """Return the request for the queue of the dispatching host."""
@@ -508,6 +511,7 @@
                 left_s + ANSWER_GRACE_S,
                 lambda response: self.codec.is_answer_to(response, request_id),
                 _max_idle_s(job.route.repeat),
+                job.carriers,
             )
         except LinkError as error:
             return None, self._record_failure(job, entry, error)
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -105,6 +105,7 @@
             entry=settings.entry,
             store=settings.store,
         )
+        self._apply_limits()
         await self.coordination.listen(
             f'{settings.ip}:{settings.peer_port}',
         )
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -157,7 +157,14 @@
         extra = {**extra, 'Content-Length': str(len(content))}
         rendered = ''.join(f'{key}: {text}\r\n' for key, text in extra.items())
         answer = f'HTTP/1.1 {status} X\r\n{rendered}\r\n'.encode()
-        writer.write(answer + content)
+        await self.write_answer(writer, answer + content)
+
+    async def write_answer(
+        self,
+        writer: asyncio.StreamWriter,
+        answer: bytes,
+    ) -> None:
+        writer.write(answer)
         await writer.drain()
 
 
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -20,6 +20,7 @@
     Installation,
 )
 
+MAX_ENDLESS_S = 0.8  # before the deadline of an order, 1 s
 RETRY_SHARE = 0.2  # retries for each request, as the settings allow
 RETRY_SLACK = 12  # retries beyond that share that the settings allow
 
@@ -63,6 +64,14 @@
     return 503, {**echoed, 'Server-Load': '0,0,2,100'}, b''
 
 
+async def shed_once(server: FaultyServer, request: Request) -> ServerAnswer:
+    request_id = request.headers['attempt-id']
+    arrivals = [arrived for arrived, _ in server.arrived]
+    if arrivals.count(request_id) > 1:
+        return server.run(request)
+    return await shed_request(server, request)
+
+
 async def omit_signature(
     server: FaultyServer, request: Request
 ) -> ServerAnswer:
@@ -91,11 +100,65 @@
     return {**document, 'listeners': [{**listener, 'rules': rules}]}
 
 
-async def start_servers(installation: Installation) -> list[FaultyServer]:
+class RepeatingServer(FaultyServer):
+    """Writes answers once more, before the next one on the connection.
+
+    :cvar repeats: header of the answers that are repeated.
+    """
+
+    repeats = b'Server-Signature'
+
+    def __init__(
+        self, name: str, answer_with: AnswerFunction, zone: str
+    ) -> None:
+        super().__init__(name, answer_with, zone)
+        self.written: dict[asyncio.StreamWriter, bytes] = {}
+
+    async def write_answer(
+        self, writer: asyncio.StreamWriter, answer: bytes
+    ) -> None:
+        repeated = self.written.pop(writer, b'')
+        if self.repeats in answer:
+            self.written[writer] = answer
+        await super().write_answer(writer, repeated + answer)
+
+
+class RefusalRepeatingServer(RepeatingServer):
+    """Repeats refusals only."""
+
+    repeats = b'Not-Executed'
+
+
+class EndlessServer(FaultyServer):
+    """Runs requests and answers with header lines without end."""
+
+    async def write_answer(
+        self, writer: asyncio.StreamWriter, answer: bytes
+    ) -> None:
+        if b'Server-Signature' not in answer or self.answer_with is not (
+            answer_without_end
+        ):
+            await super().write_answer(writer, answer)
+            return
+        writer.write(b'HTTP/1.1 200 OK\r\n')
+        while True:
+            writer.write(b'X-Filler: %s\r\n' % (b'y' * 500))
+            await writer.drain()
+
+
+async def answer_without_end(
+    server: FaultyServer, request: Request
+) -> ServerAnswer:
+    return server.run(request)
+
+
+async def start_servers(
+    installation: Installation, server_type: type[FaultyServer]
+) -> list[FaultyServer]:
     """Start a host and a server in each of two zones; wait until ready."""
     await installation.open(servers=0, hosts=0)
     servers = [
-        FaultyServer(f'i-odd-{zone}', answer_normally, zone)
+        server_type(f'i-odd-{zone}', answer_normally, zone)
         for zone in ('z1', 'z2')
     ]
     for server in servers:
@@ -110,13 +173,14 @@
 def run_against(
     answer_with: AnswerFunction,
     scenario: Callable[[Installation, list[FaultyServer]], Awaitable[None]],
+    server_type: type[FaultyServer] = FaultyServer,
 ) -> None:
     """Run a scenario in which both servers misbehave."""
 
     async def run() -> None:
         installation = Installation()
         try:
-            servers = await start_servers(installation)
+            servers = await start_servers(installation, server_type)
             for server in servers:
                 server.answer_with = answer_with
                 server.arrived.clear()
@@ -171,6 +235,59 @@
     run_against(shed_request, scenario)
 
 
+def test_refused_by_a_repeated_answer() -> None:
+    """REFUSED: status 503 for a request that ran when it was sent again.
+
+    The server first refuses a request. When the request arrives once more,
+    it writes that refusal again on the kept connection and runs the request.
+    """
+
+    async def scenario(
+        installation: Installation, servers: list[FaultyServer]
+    ) -> None:
+        await send_orders(installation, 12)  # earn retries
+        for server in servers:
+            server.answer_with = shed_once
+            server.ran.clear()
+        answers = await send_orders(installation, 6)
+        ran = [*servers[0].ran, *servers[1].ran]
+        assert [answer.status for answer in answers].count(200) == len(ran)
+        assert ran
+
+    run_against(answer_normally, scenario, RefusalRepeatingServer)
+
+
+def test_mixed_repeated_answers_reach_no_other_caller() -> None:
+    """MIXED: a second copy of an answer, late, on a connection in use again."""
+
+    async def scenario(
+        installation: Installation, servers: list[FaultyServer]
+    ) -> None:
+        for _ in range(12):
+            answer = await installation.send_order(7)
+            signature = answer.header(b'server-signature') or b''
+            assert answer.status == 200
+            assert signature.endswith(b'-%016x' % installation.count)
+
+    run_against(answer_normally, scenario, RepeatingServer)
+
+
+def test_answer_without_end_fails_at_once() -> None:
+    """An endless answer that is held until the deadline of its request."""
+
+    async def scenario(
+        installation: Installation, servers: list[FaultyServer]
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        answer = await installation.send_order(7)
+        assert answer.status == 502
+        assert loop.time() - began_at < MAX_ENDLESS_S
+        assert sum(len(server.ran) for server in servers) == 1
+
+    run_against(answer_without_end, scenario, EndlessServer)
+
+
 def test_budget_of_retries_holds_when_all_requests_are_shed() -> None:
     """BUDGET: unlimited retries at servers that shed load."""
 
--- a/tests/test_upstream_links.py
+++ b/tests/test_upstream_links.py
@@ -1,6 +1,7 @@
 """Connections to upstreams, against a server that sends raw bytes."""
 
 import asyncio
+import tracemalloc
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
@@ -8,12 +9,14 @@
 
 from oriolearch.adapters.upstream_links import (
     HttpResponse,
+    Link,
     LinkError,
     LinkPool,
     LinkRefusedError,
 )
 
 REQUEST = b'GET /x HTTP/1.1\r\nhost: h\r\n\r\n'
+MAX_PEAK_BYTES = 48 * 1024 * 1024  # a small host has 200 MB
 OK = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\nid: %s\r\n\r\nok'
 
 Serve = Callable[
@@ -230,3 +233,129 @@
         assert pool.opened_count == 2
 
     run_against(serve, exercise)
+
+
+CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    ('start', 'repeated'),
+    [
+        (b'HTTP/1.1 200 OK\r\n', b'x-filler: %s\r\n' % (b'y' * 500)),
+        (b'HTTP/1.1 200 OK\r\nx: ', b'y' * 500),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+        (b'', b'y' * 500),
+        (CHUNKED_HEAD + b'1;', b'y' * 500),
+        (CHUNKED_HEAD, b'1;%s\r\nb\r\n' % (b'y' * 500)),
+        (CHUNKED_HEAD + b'0\r\n', b'x-filler: %s\r\n' % (b'y' * 500)),
+        (CHUNKED_HEAD, b'1f4\r\n%s\r\n' % (b'y' * 500)),
+        (b'HTTP/1.1 200 OK\r\n\r\n', b'y' * 500),
+        (b'HTTP/1.1 200 OK\r\ncontent-length: 99999999\r\n\r\n', b'y' * 500),
+    ],
+    ids=[
+        'header lines',
+        'header value',
+        'interim answers',
+        'no answer',
+        'chunk extension',
+        'chunk extensions',
+        'trailers',
+        'chunks',
+        'body without length',
+        'body with length',
+    ],
+)
+def test_endless_response_ends_the_connection(
+    start: bytes,
+    repeated: bytes,
+) -> None:
+    """Bytes without end must neither fill the memory nor hold the request.
+
+    Each part of a response but the body was read without a bound: endless
+    header lines took 823 MB in 4 s.
+    """
+    ended = asyncio.Event()
+
+    async def serve(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(start)
+        with suppress(ConnectionError):
+            while not writer.transport.is_closing():
+                writer.write(repeated * 16)
+                await writer.drain()
+        ended.set()
+
+    async def exercise(pool: LinkPool) -> None:
+        tracemalloc.start()
+        try:
+            with pytest.raises(LinkError) as caught:
+                await pool.exchange(REQUEST, 60.0)
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert caught.value.was_sent
+        assert 'in time' not in caught.value.reason
+        assert peak_bytes < MAX_PEAK_BYTES
+        await ended.wait()
+
+    run_against(serve, exercise)
+
+
+def test_small_chunks_are_a_complete_response() -> None:
+    """The bound on framing must not reject a body in small chunks."""
+    chunks = b'1\r\nb\r\n' * 20000
+
+    async def exercise(pool: LinkPool) -> None:
+        answer = await pool.exchange(REQUEST, 4.0)
+        assert answer.body == b'b' * 20000
+
+    run_against(scripted(CHUNKED_HEAD + chunks + b'0\r\n\r\n'), exercise)
+
+
+def test_trailers_are_no_headers() -> None:
+    """A trailer must not pass for the id or the refusal of a response."""
+    answer = CHUNKED_HEAD + b'0\r\nid: 1\r\n\r\n'
+
+    async def exercise(pool: LinkPool) -> None:
+        response = await pool.exchange(REQUEST, 1.0)
+        assert response.header(b'id') is None
+
+    run_against(scripted(answer), exercise)
+
+
+def test_repeated_refusal_is_not_the_response_to_a_retry() -> None:
+    """A refusal that is sent twice must not answer the request's retry.
+
+    The retry runs on the upstream; the second copy of the refusal, which has
+    the id of the request as well, would report that it did not.
+    """
+    refusal = b'HTTP/1.1 503 X\r\ncontent-length: 0\r\nid: 1\r\n\r\n'
+    served: dict[asyncio.StreamReader, int] = {}
+
+    async def serve(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        with suppress(asyncio.IncompleteReadError):
+            while await reader.readuntil(b'\r\n\r\n'):
+                served[reader] = served.get(reader, 0) + 1
+                is_retry = sum(served.values()) > 1
+                writer.write(refusal if served[reader] > 1 else b'')
+                writer.write(OK % b'1' if is_retry else refusal)
+
+    async def exercise(pool: LinkPool) -> None:
+        carriers: set[Link] = set()
+        statuses = [
+            (
+                await pool.exchange(
+                    REQUEST, 1.0, has_id(b'1'), carriers=carriers
+                )
+            ).status
+            for _ in range(2)
+        ]
+        assert statuses == [503, 200]
+
+    run_against(serve, exercise)
