Handle pipelined safe requests of a caller concurrently

Cause: a connection handled one request at a time. A request that was parsed behind another in one read was dropped and the connection closed; one that arrived later waited for the reply before it.

Requests of a connection are queued in their order. Up to eight run at once as long as their routes are idempotent (the kind of the route decides, not the method); any other runs alone in its place. Replies are sent in order. Nothing is read behind a request that closes the connection, 100 Continue is sent once the replies before it are, a caller that leaves cancels all handlers, and a stop answers every request that was read. Parsing pauses while eight requests wait or the caller reads no replies.

Also: framing, trailers and chunk extensions of a request count against the limit of its head, trailers are no headers, a connection that the host closes lingers for 1 s so that unread bytes do not reset the last reply, and a handler that fails is answered with 500 in place of blocking its connection.

On the path through a host test_pipelined_requests_run_at_once_by_the_kind_of_their_route.

--- a/src/oriolearch/adapters/caller_links.py
+++ b/src/oriolearch/adapters/caller_links.py
@@ -1,12 +1,14 @@
 """HTTP/1.1 connections of callers, on an event loop.
 
-A request is read completely, passed to a handler, and answered; further
-requests on the connection wait. When the caller closes the connection, the
-handler is cancelled.
+A request is read completely and passed to a handler. Pipelined requests, sent
+before the earlier ones are answered, are handled concurrently as long as all
+of them are safe; replies are sent in the order of the requests. When the
+caller closes the connection, the handlers are cancelled.
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections import deque
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
@@ -18,6 +20,14 @@
 from oriolearch.core.directory import CallerLimits
 
 MAX_PIPELINED_BYTES = 65536  # buffered per connection before reading pauses
+# Requests of one connection that are handled at once. Each may hold an answer
+# of several megabytes until those before it are sent.
+MAX_PIPELINED_REQUESTS = 8
+PARSED_BYTES = 4096  # parsed at once, which bounds the requests that are queued
+MAX_CHUNK_FRAMING_BYTES = 16  # size line and line ends of a chunk
+# Time in which a caller reads the last reply. Closing a socket with unread
+# bytes would reset the connection and discard that reply.
+LINGER_S = 1.0
 MAX_TOTAL_BODY_BYTES = 64 * 1024 * 1024  # of all requests in memory
 
 
@@ -52,16 +62,28 @@
 Handler = Callable[[IncomingRequest], Awaitable[Reply]]
 
 
+def has_safe_method(request: IncomingRequest) -> bool:
+    """Return whether the method of a request is safe by definition."""
+    return request.method in {b'GET', b'HEAD', b'OPTIONS'}
+
+
 class CallerListener:
     """State shared by all caller connections of one listening address.
 
+    :param is_safe: returns whether a request may be handled concurrently with
+        others of its connection.
     :ivar links: open connections.
     :ivar body_bytes: size of the request bodies in memory.
     :ivar is_stopping: connections are closed once they are idle.
     """
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        is_safe: Callable[[IncomingRequest], bool] = has_safe_method,
+    ) -> None:
         self.handler = handler
+        self.is_safe = is_safe
         self.limits = CallerLimits()
         self.links: set[CallerLink] = set()
         self.body_bytes = 0
@@ -73,20 +95,19 @@
 
     def running(self) -> int:
         """Return the number of requests being read or handled."""
-        return sum(1 for link in self.links if link.is_busy())
+        return sum(len(link.queue) + link.is_reading for link in self.links)
 
     def stop(self) -> None:
-        """Close idle connections now, and busy ones after their response."""
+        """Close idle connections now, and busy ones after their last reply."""
         self.is_stopping = True
         for link in list(self.links):
-            if not link.is_busy():
-                link.close()
+            link.stop()
 
     def close_expired(self, now: float) -> None:
         """Close connections that exceed the idle or header timeout."""
         limits = self.limits
         for link in list(self.links):
-            if link.task is not None:
+            if link.queue:
                 continue
             limit_s = limits.idle_timeout_s
             if link.is_reading:
@@ -95,24 +116,54 @@
                 link.close()
 
 
+class _Exchange:
+    """A request that was read, until its reply is sent.
+
+    :ivar is_last: the connection is closed after the reply.
+    :ivar is_safe: ``None`` until it matters.
+    :ivar body_size: bytes of the body, counted by the listener.
+    """
+
+    __slots__ = ('body_size', 'is_last', 'is_safe', 'reply', 'request', 'task')
+
+    def __init__(self, request: IncomingRequest) -> None:
+        self.request = request
+        self.is_last = False
+        self.is_safe: bool | None = None
+        self.body_size = 0
+        self.reply: Reply | None = None
+        self.task: asyncio.Task[None] | None = None
+
+
 class CallerLink(asyncio.Protocol):
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    :ivar incoming: the request that is being read.
+    :ivar queue: requests that were read and not answered, in their order.
+    :ivar unparsed: received bytes, while enough requests are queued.
+    :ivar overhead: bytes of the request being read other than its body,
+        without those parsed together with the end of the one before.
+    :ivar awaits_continue: the caller waits for 100 Continue, which is sent
+        once the replies to the requests before are sent.
+    :ivar is_read_to_end: no further request is read.
+    """
 
     def __init__(self, listener: CallerListener) -> None:
         self.listener = listener
         self.transport: Any = None
         self.parser: Any = httptools.HttpRequestParser(self)
-        self.request = IncomingRequest()
+        self.incoming = _Exchange(IncomingRequest())
+        self.queue: deque[_Exchange] = deque()
+        self.unparsed = bytearray()
         self.chunks: list[bytes] = []
-        self.size = 0
         self.header_size = 0
-        self.unparsed_size = 0
+        self.overhead = 0
+        self.chunk_count = 0
         self.has_head = False
-        self.task: asyncio.Task[None] | None = None
-        self.backlog: list[bytes] = []
+        self.awaits_continue = False
         self.is_reading = False
-        self.is_last = False
-        self.refusal_status = 0
+        self.is_read_to_end = False
+        self.is_write_paused = False
         self.last_active_at = 0.0
 
     def connection_made(self, transport: Any) -> None:
@@ -122,19 +173,37 @@
         self.listener.links.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Cancel the handler of a caller that disconnected."""
+        """Cancel the handlers of a caller that disconnected."""
         self.listener.links.discard(self)
-        self._release_body_bytes()
-        if self.task is not None:
-            self.task.cancel()
+        self.is_read_to_end = True
+        self._release_body_bytes(self.incoming)
+        for exchange in self.queue:
+            self._release_body_bytes(exchange)
+            if exchange.task is not None:
+                exchange.task.cancel()
 
     def eof_received(self) -> bool:
         """Close the connection, also when the caller only half-closed it."""
         return False
 
-    def is_busy(self) -> bool:
-        """Return whether a request is being read or handled."""
-        return self.is_reading or self.task is not None
+    def pause_writing(self) -> None:
+        """Read no further requests while the caller reads no replies."""
+        self.is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Read requests again."""
+        self.is_write_paused = False
+        self._parse()
+
+    def stop(self) -> None:
+        """Close after the requests that were read or are being read."""
+        if self.is_reading or self.is_read_to_end:
+            return
+        self.is_read_to_end = True
+        if self.queue:
+            self.queue[-1].is_last = True
+        else:
+            self.close()
 
     def close(self) -> None:
         """Close the connection once all written bytes are sent."""
@@ -142,70 +211,70 @@
             self.transport.close()
 
     def data_received(self, data: bytes) -> None:
-        """Parse bytes, or buffer them while a request is handled."""
-        if self.task is not None:
-            self.backlog.append(data)
-            if sum(map(len, self.backlog)) > MAX_PIPELINED_BYTES:
-                self.transport.pause_reading()
+        """Parse bytes, or buffer them while enough requests are queued."""
+        if self.is_read_to_end:
             return
         self.last_active_at = loop_clock()
-        self._feed(data)
-        if self.is_reading and not self.has_head:
-            # The parser buffers an unfinished header without a size limit.
-            self.unparsed_size += len(data)
-            self._check_header_size()
+        self.unparsed += data
+        self._parse()
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
-        if self._is_pipelined():
+        if self.is_read_to_end:
             return
         self.is_reading = True
-        self.request = IncomingRequest()
+        self.incoming = _Exchange(IncomingRequest())
         self.chunks = []
-        self.size = 0
         self.header_size = 0
-        self.unparsed_size = 0
+        self.chunk_count = 0
         self.has_head = False
 
     def on_url(self, target: bytes) -> None:
         """Add a part of the request target."""
-        if self._is_pipelined():
+        if self.is_read_to_end:
             return
-        self.request.target += target
+        self.incoming.request.target += target
         self.header_size += len(target)
-        self._check_header_size()
+        self._check_header_size(self.header_size)
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Add a header to the request."""
-        if self._is_pipelined():
+        """Add a header to the request; ignore trailers."""
+        if self.is_read_to_end:
             return
         self.header_size += len(name) + len(text) + 4
-        self.request.headers.append((name.lower(), text))
-        self._check_header_size()
+        if not self.has_head:
+            self.incoming.request.headers.append((name.lower(), text))
+        self._check_header_size(self.header_size)
 
     def on_headers_complete(self) -> None:
         """Check the headers; send 100 Continue if the caller expects it."""
-        if self._is_pipelined():
+        if self.is_read_to_end:
             return
         self.has_head = True
-        request = self.request
+        request = self.incoming.request
         request.method = self.parser.get_method()
-        self.is_last = not self.parser.should_keep_alive()
+        self.incoming.is_last = not self.parser.should_keep_alive()
         length = request.header(b'content-length')
         if length is not None and request.header(b'transfer-encoding'):
             self._refuse(HTTPStatus.BAD_REQUEST)
         elif length and int(length) > self.listener.limits.body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         elif request.header(b'expect') is not None:
-            self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+            self.awaits_continue = True
+            self._send_continue()
+
+    def on_chunk_header(self) -> None:
+        """Count a chunk."""
+        self.chunk_count += 1
 
     def on_body(self, data: bytes) -> None:
         """Add a part of the body, within the size limits."""
-        if self._is_pipelined():
+        if self.is_read_to_end:
             return
-        self.size += len(data)
+        self.overhead -= len(data)
+        self.incoming.body_size += len(data)
         self.listener.body_bytes += len(data)
-        if self.size > self.listener.limits.body_bytes:
+        if self.incoming.body_size > self.listener.limits.body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         elif self.listener.body_bytes > MAX_TOTAL_BODY_BYTES:
             self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
@@ -213,76 +282,143 @@
             self.chunks.append(data)
 
     def on_message_complete(self) -> None:
-        """Start the handler of a complete request."""
-        if self.refusal_status or self.task is not None:
+        """Queue a complete request."""
+        if self.is_read_to_end:
             return
-        request = self.request
-        request.body = b''.join(self.chunks)
+        exchange = self.incoming
+        self.incoming = _Exchange(IncomingRequest())
+        exchange.request.body = b''.join(self.chunks)
         self.chunks = []
-        loop = asyncio.get_running_loop()
-        request.received_at = loop.time()
+        exchange.request.received_at = loop_clock()
         self.is_reading = False
-        self.task = loop.create_task(self._handle(request))
+        self.overhead = 0
+        self.awaits_continue = False
+        if self.listener.is_stopping:
+            exchange.is_last = True
+        self._enqueue(exchange)
+
+    def _parse(self) -> None:
+        """Parse received bytes until enough requests are queued."""
+        while self.unparsed and not (self.is_read_to_end or self._is_full()):
+            piece = bytes(self.unparsed[:PARSED_BYTES])
+            del self.unparsed[:PARSED_BYTES]
+            self._feed(piece)
+        if self.is_read_to_end:
+            self.unparsed.clear()
+        if len(self.unparsed) > MAX_PIPELINED_BYTES:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
+    def _is_full(self) -> bool:
+        return self.is_write_paused or len(self.queue) >= MAX_PIPELINED_REQUESTS
 
-    def _feed(self, data: bytes) -> None:
+    def _feed(self, piece: bytes) -> None:
+        self.overhead += len(piece)
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
+            self.parser.feed_data(piece)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._refuse(HTTPStatus.BAD_REQUEST)
-        except httptools.HttpParserError:
-            if self.task is None:
-                self._refuse(self.refusal_status or HTTPStatus.BAD_REQUEST)
-            else:
-                self.is_last = True
-
-    def _is_pipelined(self) -> bool:
-        """Check whether a request is pipelined behind one being handled.
-
-        The pipelined request is not read, and the connection is closed after
-        the response to the earlier one.
-        """
-        if self.task is None:
-            return False
-        self.is_last = True
-        return True
+        framing_size = MAX_CHUNK_FRAMING_BYTES * self.chunk_count
+        if self.is_reading:
+            # The parser buffers an unfinished header, and skips extensions of
+            # chunks, without a size limit.
+            self._check_header_size(self.overhead - framing_size)
 
-    def _check_header_size(self) -> None:
-        size = max(self.header_size, self.unparsed_size)
+    def _check_header_size(self, size: int) -> None:
         if size > self.listener.limits.header_bytes:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def _refuse(self, status: int) -> None:
-        """Send an error response without reading on, and close."""
-        if self.refusal_status:
+        """Reply with an error without reading on, and close."""
+        if self.is_read_to_end:
             return
-        self.refusal_status = status
-        self.transport.write(
-            b'HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n'
-            % (status, HTTPStatus(status).phrase.encode()),
-        )
-        self.transport.close()
-
-    async def _handle(self, request: IncomingRequest) -> None:
-        reply = await self.listener.handler(request)
-        self._release_body_bytes()
-        self.is_last = self.is_last or self.listener.is_stopping
+        self._release_body_bytes(self.incoming)
+        self.chunks = []
+        self.is_reading = False
+        exchange = _Exchange(IncomingRequest())
+        exchange.is_last = True
+        exchange.reply = Reply(status)
+        self._enqueue(exchange)
+
+    def _enqueue(self, exchange: _Exchange) -> None:
+        self.is_read_to_end = exchange.is_last
+        self.queue.append(exchange)
+        self._send_replies()
+        self._start_handlers()
+
+    def _start_handlers(self) -> None:
+        loop = asyncio.get_running_loop()
+        for exchange in self._runnable():
+            if exchange.task is None and exchange.reply is None:
+                exchange.task = loop.create_task(self._handle(exchange))
+
+    def _runnable(self) -> Iterator[_Exchange]:
+        """Yield the requests that need not wait for those before them.
+
+        A request that is not safe is handled alone, in its place in the order
+        of the requests.
+        """
+        for position, exchange in enumerate(self.queue):
+            if position == MAX_PIPELINED_REQUESTS:
+                return
+            if len(self.queue) > 1 and not self._is_safe(exchange):
+                if position == 0:
+                    yield exchange
+                return
+            yield exchange
+
+    def _is_safe(self, exchange: _Exchange) -> bool:
+        if exchange.is_safe is None:
+            exchange.is_safe = self.listener.is_safe(exchange.request)
+        return exchange.is_safe
+
+    async def _handle(self, exchange: _Exchange) -> None:
+        try:
+            exchange.reply = await self.listener.handler(exchange.request)
+        except Exception as error:
+            exchange.reply = Reply(HTTPStatus.INTERNAL_SERVER_ERROR)
+            asyncio.get_running_loop().call_exception_handler(
+                {'message': 'handler of a request failed', 'exception': error},
+            )
+        self._release_body_bytes(exchange)
         if not self.transport.is_closing():
-            self.transport.write(_render(request, reply, self.is_last))
-        self.task = None
-        self.last_active_at = loop_clock()
-        if self.is_last:
-            self.transport.close()
-            return
-        self.parser = httptools.HttpRequestParser(self)
-        backlog = self.backlog
-        self.backlog = []
+            self._send_replies()
+            self._start_handlers()
+            self._parse()
+
+    def _send_replies(self) -> None:
+        """Send the replies that have none to wait for."""
+        while self.queue:
+            exchange = self.queue[0]
+            if exchange.reply is None:
+                return
+            self.queue.popleft()
+            self.last_active_at = loop_clock()
+            self.transport.write(
+                _render(exchange.request, exchange.reply, exchange.is_last),
+            )
+            if exchange.is_last:
+                self._close_after_reply()
+        self._send_continue()
+
+    def _send_continue(self) -> None:
+        if self.awaits_continue and not self.queue:
+            self.awaits_continue = False
+            self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def _close_after_reply(self) -> None:
+        """Close once the caller has closed, or after a while.
+
+        Bytes that the caller still sends are discarded.
+        """
         self.transport.resume_reading()
-        for data in backlog:
-            self.data_received(data)
+        self.transport.write_eof()
+        asyncio.get_running_loop().call_later(LINGER_S, self.close)
 
-    def _release_body_bytes(self) -> None:
-        self.listener.body_bytes -= self.size
-        self.size = 0
+    def _release_body_bytes(self, exchange: _Exchange) -> None:
+        self.listener.body_bytes -= exchange.body_size
+        exchange.body_size = 0
 
 
 def _render(request: IncomingRequest, reply: Reply, is_last: bool) -> bytes:
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -290,6 +290,16 @@
         for pool in self.link_pools.values():
             pool.close_expired(now)
 
+    def is_safe(self, request: IncomingRequest) -> bool:
+        """Return whether the route of a request allows it to run repeatedly.
+
+        Such requests of one caller may run concurrently.
+        """
+        directory = self.registry.directory
+        head = self.codec.read_head(request)
+        route = directory.match(head.host, head.path) if directory else None
+        return route is not None and route.repeat is Repeat.IDEMPOTENT
+
     async def serve(self, request: IncomingRequest) -> Reply:
         """Forward a request and return its reply."""
         head = self.codec.read_head(request)
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -61,7 +61,10 @@
             self.rng,
         )
         self.relay = Relay()
-        self.listener = CallerListener(self.forwarder.serve)
+        self.listener = CallerListener(
+            self.forwarder.serve,
+            self.forwarder.is_safe,
+        )
         self.readiness = CallerListener(self._answer_readiness)
         self.servers: list[asyncio.Server] = []
         self.metrics = CallerListener(self._answer_metrics)
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -11,8 +11,14 @@
 import pytest
 
 from oriolearch.adapters.upstream_links import HttpResponse, LinkPool
+from oriolearch.addresses import split_address
 from tests.platform_standin import Answer as ServerAnswer
-from tests.platform_standin import KeyedServer, Request
+from tests.platform_standin import (
+    KeyedServer,
+    Request,
+    make_document,
+    make_rule,
+)
 from tests.test_platform_host import (
     CALLER_CONNECT_S,
     CONFIG,
@@ -409,3 +415,54 @@
         assert not any(upstream.running for upstream in upstreams)
 
     run_against(never_answer, scenario)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'method', 'most_at_once'),
+    [('safe', 'GET', 3), ('safe', 'POST', 3), ('unsafe', 'GET', 1)],
+)
+def test_pipelined_requests_run_at_once_by_the_kind_of_their_route(
+    kind: str,
+    method: str,
+    most_at_once: int,
+) -> None:
+    """Pipelined requests that wait for one another, or overtake wrongly.
+
+    The route tells which requests may run at once; the method does not.
+    """
+    running = 0
+    most = 0
+
+    async def answer_slowly(
+        server: FaultyServer, request: Request
+    ) -> ServerAnswer:
+        nonlocal running, most
+        running += 1
+        most = max(most, running)
+        await asyncio.sleep(0.1)
+        running -= 1
+        return server.run(request)
+
+    async def scenario(
+        installation: Installation, servers: list[FaultyServer]
+    ) -> None:
+        document = make_document(8, [make_rule('look', kind, 1.2)])
+        installation.store.put('op', 'config', document)
+        await asyncio.sleep(0.5)
+        requests = [
+            f'{method} /look/x HTTP/1.1\r\nHost: shop.example\r\n'
+            f'Attempt-Id: p{key}\r\nTimeout-Ms: 1000\r\n'
+            f'Shard-Key: {key}\r\nContent-Length: 0\r\n\r\n'
+            for key in (KEYS[0], KEYS[8], KEYS[-1])
+        ]
+        host, port = split_address(installation.hosts[0].settings.entry)
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(''.join(requests).encode())
+        answered = [await reader.readuntil(b'\r\n\r\nran:') for _ in requests]
+        ids = [f'attempt-id: p{key}' for key in (KEYS[0], KEYS[8], KEYS[-1])]
+        for answer, request_id in zip(answered, ids, strict=True):
+            assert request_id.encode() in answer.lower()
+        assert most == most_at_once
+        writer.close()
+
+    run_against(answer_slowly, scenario)
