Add hosts that follow the tables while the store is silent for the coordinator

The coordinator polls its own row each 0.8 s in place of 4 s and counts the store as lost 0.4 s after that. Until the store answers it again, four more hosts follow the tables and forward what they read.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -35,7 +35,12 @@
 from oriolearch.leadership import Leadership
 from oriolearch.members import Member
 from oriolearch.placing import DispatchServer
-from oriolearch.ports import SharedStore, StoredRow, TableState
+from oriolearch.ports import (
+    LONG_POLL_GRACE_S,
+    SharedStore,
+    StoredRow,
+    TableState,
+)
 from oriolearch.relaying import (
     Forward,
     Relay,
@@ -65,8 +70,11 @@
 # A host that cannot reach most of its peers takes over only after this.
 ISOLATED_TAKEOVER_S = 8.0
 STORE_POLL_S = 28.0  # long poll of the store
-# The coordinator polls more often: each answer extends its authority.
-COORDINATOR_POLL_S = 4.0
+# The coordinator polls more often: each answer extends its authority, and a
+# store that stops to answer is noticed. Other hosts then read a new
+# configuration in time.
+COORDINATOR_POLL_S = 0.8
+COORDINATOR_POLL_GRACE_S = 0.4  # a slow store takes 0.2 s
 CONFIRM_PERIOD_S = 0.4  # between checks of the coordinator's authority
 STORE_RETRY_S = 0.25  # after a failed call of the store
 # Between takeover attempts while the store does not answer.
@@ -134,6 +142,7 @@
         self.contact_lost_at = float('-inf')
         self.failed_connects = 0
         self.owners_read_at = float('-inf')
+        self.store_lost_at = 0.0
         self.next_stuck_takeover_at = float('-inf')
         self.store_backoff_s = STORE_RETRY_S
         self.is_stopping = False
@@ -193,9 +202,40 @@
                 after = await self._poll_coordinator_table(after)
             except HistoryLostError:
                 after = None
-            except PlatformError:
-                # The tasks that watch the platform's tables log the outage.
+            except PlatformError as error:
+                self._record_store_loss(error)
                 await asyncio.sleep(STORE_RETRY_S)
+            else:
+                self._record_store_answer()
+
+    def _record_store_loss(self, error: PlatformError) -> None:
+        """Let more hosts poll the tables for a coordinator without store.
+
+        On other hosts, the tasks that watch the platform's tables log the
+        outage.
+        """
+        leadership = self.leadership
+        if leadership is None or leadership.members.is_store_lost:
+            return
+        self.store_lost_at = lease_clock()
+        leadership.members.set_store_lost(True)
+        self.log.emit(
+            Event.STORE_LOST,
+            table=COORDINATOR_TABLE,
+            error=str(error),
+        )
+
+    def _record_store_answer(self) -> None:
+        leadership = self.leadership
+        if leadership is None or not leadership.members.is_store_lost:
+            return
+        leadership.members.set_store_lost(False)
+        self.log.emit(
+            Event.STORE_REGAINED,
+            table=COORDINATOR_TABLE,
+            version=self.row_version,
+            away_s=round(lease_clock() - self.store_lost_at, 3),
+        )
 
     async def _poll_coordinator_table(self, after: int | None) -> int:
         sent_at = lease_clock()
@@ -203,8 +243,14 @@
             state = await self.store.read(COORDINATOR_TABLE)
         else:
             is_coordinator = self.leadership is not None
-            wait_s = COORDINATOR_POLL_S if is_coordinator else STORE_POLL_S
-            state = await self.store.follow(COORDINATOR_TABLE, after, wait_s)
+            state = await self.store.follow(
+                COORDINATOR_TABLE,
+                after,
+                COORDINATOR_POLL_S if is_coordinator else STORE_POLL_S,
+                COORDINATOR_POLL_GRACE_S
+                if is_coordinator
+                else LONG_POLL_GRACE_S,
+            )
         self._apply_rows(state)
         self.has_read_coordinator_row = True
         if self.leadership is not None:
--- a/src/oriolearch/members.py
+++ b/src/oriolearch/members.py
@@ -9,6 +9,9 @@
 from oriolearch.relaying import encode_rows
 
 WATCHERS = 2  # hosts that poll the tables, besides the coordinator
+# Further watchers while the store does not answer the coordinator. The store
+# may turn away some hosts, the coordinator and both watchers among them.
+SPARE_WATCHERS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +51,7 @@
         self.leaving: set[HostLink] = set()
         self.watchers: list[HostLink] = []
         self.is_own_host_leaving = False
+        self.is_store_lost = False
         self.sent_hosts: dict[str, float] = {}
         self.on_hosts_changed = on_hosts_changed
 
@@ -112,11 +116,20 @@
 
     def send_watchers(self, link: HostLink) -> None:
         """Send the watchers to a new host, or choose missing ones."""
-        if len(self.watchers) < WATCHERS:
+        if len(self.watchers) < self._watcher_count():
             self._choose_watchers()
         else:
             link.send(self._watchers_message())
 
+    def set_store_lost(self, is_lost: bool) -> None:
+        """Add watchers while the store does not answer the coordinator."""
+        if is_lost != self.is_store_lost:
+            self.is_store_lost = is_lost
+            self._choose_watchers()
+
+    def _watcher_count(self) -> int:
+        return WATCHERS + SPARE_WATCHERS * self.is_store_lost
+
     def _choose_watchers(self) -> None:
         """Choose watchers, from zones without one where possible."""
         kept = [link for link in self.watchers if link in self.links]
@@ -126,7 +139,7 @@
         }
         others = [link for link in self.active() if link not in kept]
         others.sort(key=lambda link: self._watcher_rank(link, zones))
-        self.watchers = [*kept, *others][:WATCHERS]
+        self.watchers = [*kept, *others][: self._watcher_count()]
         self.send_to_all(self._watchers_message())
 
     def _watcher_rank(
--- a/src/oriolearch/platform/store.py
+++ b/src/oriolearch/platform/store.py
@@ -16,11 +16,10 @@
     PlatformError,
     PlatformRefusedError,
 )
-from oriolearch.ports import RowName, StoredRow, TableState
+from oriolearch.ports import LONG_POLL_GRACE_S, RowName, StoredRow, TableState
 
 # The store answers within 4 ms, or within 50 times that when it is slow.
 CALL_TIMEOUT_S = 1.5
-LONG_POLL_GRACE_S = 2.0  # timeout of a long poll beyond its wait
 MAX_PAGE_ROWS = 500  # most rows that the store returns for a read
 
 
@@ -66,9 +65,12 @@
         table: str,
         after: int,
         wait_s: float,
+        grace_s: float = LONG_POLL_GRACE_S,
     ) -> TableState:
         """Wait until a table changes after a version; return the changes.
 
+        :param wait_s: the store answers after this long without a change.
+        :param grace_s: the call fails this long after that.
         :raises HistoryLostError: when the store no longer has the changes
             after the version, so that the table must be read anew.
         :raises PlatformError: when the call fails.
@@ -78,7 +80,7 @@
             'after': after,
             'wait_ms': int(wait_s * 1000),
         }
-        body = await self._get('/rows-feed', query, wait_s + LONG_POLL_GRACE_S)
+        body = await self._get('/rows-feed', query, wait_s + grace_s)
         rows = tuple(_decode_row(row) for row in _objects(body, 'rows'))
         return TableState(rows, _decode_version(body))
 
--- a/src/oriolearch/ports.py
+++ b/src/oriolearch/ports.py
@@ -6,6 +6,8 @@
 
 Row = Mapping[str, Any]  # JSON object of a table row
 
+LONG_POLL_GRACE_S = 2.0  # timeout of a long poll beyond its wait
+
 
 class Clock(Protocol):
     """A source of time, which tests can replace by a manual one."""
@@ -151,8 +153,13 @@
         table: str,
         after: int,
         wait_s: float,
+        grace_s: float = LONG_POLL_GRACE_S,
     ) -> TableState:
-        """Wait until a table changes after a version; return the changes."""
+        """Wait until a table changes after a version; return the changes.
+
+        :param wait_s: the store answers after this long without a change.
+        :param grace_s: the call fails this long after that.
+        """
 
     async def commit(
         self,
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -176,6 +176,7 @@
     :ivar is_closing: the connection of every call is closed unanswered.
     :ivar lost_writes: number of next writes that take effect unanswered.
     :ivar calls: paths of all calls.
+    :ivar polls: tables of the long polls.
     """
 
     def __init__(self) -> None:
@@ -188,6 +189,7 @@
         self.lost_writes = 0
         self.changed = asyncio.Event()
         self.calls: list[str] = []
+        self.polls: list[str] = []
 
     async def listen(self) -> None:
         await self.start(self.handle)
@@ -234,6 +236,7 @@
         return self.reply(rows=rows[:limit], more_pages=len(rows) > limit)
 
     async def feed(self, query: dict[str, str]) -> Answer:
+        self.polls.append(query['table'])
         after = int(query['after'])
         if after < self.oldest:
             return 410, {}, b''
