Count recent requests when an upstream turns cold; probe during store outages

Entries do not change then, so hosts sent their usual 11 to 13 requests a second; 12.1 were allowed. One server ended under that load. Ruled out: several hosts sending at once (all requests were placed by one dispatching host).

While the store does not answer the coordinator, which its heartbeats tell, each host probes the warm upstreams that it dispatches each 0.4 s and records those that report a cold start (event 427). Requests that were assigned in the second before a cold start was known count against its burst, and a second cold start does not begin with what was saved since the first one.

Tests: test_upstream_that_turns_cold_under_full_load and test_upstream_that_turns_cold_in_an_outage_of_the_store (both fail before).

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -143,6 +143,7 @@
         self.failed_connects = 0
         self.owners_read_at = float('-inf')
         self.store_lost_at = 0.0
+        self.is_store_lost_to_coordinator = False
         self.next_stuck_takeover_at = float('-inf')
         self.store_backoff_s = STORE_RETRY_S
         self.is_stopping = False
@@ -208,6 +209,12 @@
             else:
                 self._record_store_answer()
 
+    def is_store_lost(self) -> bool:
+        """Return whether the store does not answer the coordinator."""
+        if self.leadership is not None:
+            return self.leadership.members.is_store_lost
+        return self.is_store_lost_to_coordinator
+
     def _record_store_loss(self, error: PlatformError) -> None:
         """Let more hosts poll the tables for a coordinator without store.
 
@@ -454,6 +461,7 @@
             )
         self.last_contact_at = lease_clock()
         self.last_contact_term = row.term
+        self.is_store_lost_to_coordinator = bool(message.get('store_lost'))
         self._apply_hosts(message)
         if message.get('stuck'):
             self._replace_stuck_coordinator()
--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -14,6 +14,7 @@
 """
 
 import random
+from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -82,6 +83,7 @@
     :ivar own_load_at_report: how many of them this dispatcher had assigned.
     :ivar paused_until: end of the pause after it shed or failed requests.
     :ivar last_contact_at: time of its last answer of any kind.
+    :ivar recent: times of the assignments in the last second.
     """
 
     entry: UpstreamEntry
@@ -96,8 +98,22 @@
     cold_until: float = 0.0
     cold_tokens: float = 0.0
     cold_refilled_at: float = 0.0
+    recent: deque[float] = field(default_factory=deque)
     is_usable: bool = True
 
+    def count_recent(self, now: float) -> int:
+        """Return the number of requests assigned in the last second."""
+        while self.recent and now - self.recent[0] >= 1:
+            self.recent.popleft()
+        return len(self.recent)
+
+    def update_cold(self, now: float, cold_until: float) -> None:
+        """Update the end of its cold start, which may be a new one."""
+        if cold_until > self.cold_until:
+            if now >= self.cold_until:
+                self.cold_refilled_at = 0.0
+            self.cold_until = cold_until
+
     def other_load(self, now: float) -> int:
         """Return the reported load that was assigned elsewhere."""
         if now - self.reported_at > LOAD_REPORT_MAX_AGE_S:
@@ -168,10 +184,7 @@
             upstream = self.upstreams.get(entry.ref) or UpstreamState(entry)
             upstream.entry = entry
             upstream.is_usable = entry.ref in allowed
-            upstream.cold_until = max(
-                upstream.cold_until,
-                cold_until.get(entry.ref, 0.0),
-            )
+            upstream.update_cold(now, cold_until.get(entry.ref, 0.0))
             upstreams[entry.ref] = upstream
         for ref, upstream in self.upstreams.items():
             if ref not in upstreams and upstream.running:
@@ -287,6 +300,8 @@
         self, now: float, request: QueuedRequest, upstream: UpstreamState
     ) -> None:
         upstream.running[request] = None
+        upstream.count_recent(now)
+        upstream.recent.append(now)
         request.assigned_at = now
         if now < upstream.cold_until:
             upstream.cold_tokens -= 1
@@ -294,7 +309,12 @@
 
     def _refill_cold(self, now: float, upstream: UpstreamState) -> None:
         if not upstream.cold_refilled_at:
-            upstream.cold_tokens = self.cold_burst
+            # Requests of the last second, assigned before the cold start was
+            # known, count as well. A second later they no longer do.
+            excess = upstream.count_recent(now) - self.plan.cold_rate
+            upstream.cold_tokens = max(
+                self.cold_burst - max(excess, 0), 1 - self.plan.cold_rate
+            )
         else:
             earned = (now - upstream.cold_refilled_at) * self.plan.cold_rate
             upstream.cold_tokens = min(
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -304,6 +304,12 @@
         ('term', 'witnesses', 'row_version'),
         'The witnesses that acknowledge this coordinator changed.',
     )
+    COLD_PROBED = EventKind(
+        427,
+        logging.INFO,
+        ('upstream', 'cold_for_s'),
+        'A probe in an outage of the store found an upstream cold.',
+    )
     PREDECESSOR_OVER = EventKind(
         440,
         logging.INFO,
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -23,6 +23,7 @@
 from oriolearch.platform.store import StoreClient
 from oriolearch.platform.watching import PlatformWatch
 from oriolearch.platform.wire import GrantCalls, PlatformCodec
+from oriolearch.probing import ColdProbes
 from oriolearch.registry import Registry
 from oriolearch.relaying import Relay
 
@@ -131,10 +132,18 @@
         )
         for table_watch in watch.table_watches():
             self.coordination.spawn(table_watch.run())
+        probes = ColdProbes(
+            self.grants,
+            self.registry,
+            self.forwarder.reservation_router,
+            self.log,
+            self.coordination.is_store_lost,
+        )
         for task in (
             self.coordination.follow(),
             self.coordination.run(),
             self.forwarder.run(),
+            probes.run(),
             self._tick(),
         ):
             self.coordination.spawn(task)
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -210,6 +210,35 @@
     assert len(sent) >= 4 * 4
 
 
+@pytest.mark.parametrize('cold_at', [0.5, 1.0, 3.0])
+def test_upstream_that_turns_cold_under_full_load(cold_at: float) -> None:
+    """Fails if requests from before a cold start was known do not count.
+
+    A busy upstream turned cold while the store was away: 13 requests reached
+    it within a second, 12.1 were allowed. A second cold start must not begin
+    with the burst that was saved since the first one either.
+    """
+    dispatcher = make_dispatcher(entry(A), cold_until=0.2, cold_burst=2.0)
+    sent: list[float] = []
+    for tick in range(600):
+        now = tick * 0.01
+        if now >= cold_at:
+            dispatcher.set_upstreams(now, [entry(A)], [A], {A: 100.0})
+        request = make_request(objective_at=now + 1, deadline=now + 9)
+        dispatcher.submit(now, request)
+        if request.assigned_to is None:
+            dispatcher.withdraw(request)
+        else:
+            sent.append(now)
+            dispatcher.release(request)
+    for start in sent:
+        in_second = [at for at in sent if start <= at < start + 1]
+        is_known = in_second[-1] >= cold_at
+        # The rate by 1.5 and twice the burst are the bound of the platform.
+        assert not is_known or len(in_second) <= 4 * 1.5 + 2 * 2
+    assert len([at for at in sent if at >= cold_at]) >= 4
+
+
 def test_cold_upstream_gets_nothing_from_other_than_its_dispatching_host() -> (
     None
 ):
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -17,6 +17,7 @@
     LinkError,
     LinkPool,
 )
+from oriolearch.core.directory import Incarnation
 from oriolearch.core.errors import ValidationError
 from oriolearch.core.witnesses import SHORT_AUTHORITY_S
 from oriolearch.platform.daemon import HostDaemon
@@ -735,3 +736,25 @@
             await wait_for_version(installation, 8)
 
     run_scenario(scenario, hosts=7)
+
+
+def test_upstream_that_turns_cold_in_an_outage_of_the_store() -> None:
+    """Guard against full load for a cold server whose entry cannot change.
+
+    Only its health response tells that it is cold.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        installation.store.is_down = True
+        await asyncio.sleep(1.0)
+        for server in installation.servers:
+            server.cold_ms = 4000
+        await asyncio.sleep(1.0)
+        now = asyncio.get_running_loop().time()
+        for server in installation.servers:
+            ref = Incarnation(server.name, 1000)
+            assert any(
+                host.registry.is_cold(now, ref) for host in installation.hosts
+            )
+
+    run_scenario(scenario, hosts=3)
