Poll the store in each term; keep hosts that connect during a takeover

Its poll of the coordinator row was answered with its own row before the store acknowledged the takeover, so the next poll was one of 28 s, as on a host that does not coordinate. The coordinator now polls in a task that begins with its term.

Found by the test with a slow acknowledgement: hosts that had read of the takeover connected to the new coordinator, which dropped them because it did not know yet that it had won. Each of them then tried to replace it, in turn, as long as the store was slow. A host with an open takeover now lets them wait.

Ruled out: hosts that apply a version late (all applied it within 5 ms of the new coordinator, 7.44 s in the trace; the version was accepted before 3.3 s).

Tests: test_store_that_is_silent_for_the_hosts_that_follow_it with a poll that began before the term, test_takeover_that_others_learn_of_first (both fail before).

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -106,6 +106,7 @@
     :ivar row: the last coordinator row that this host received.
     :ivar leadership: this host's own term, if it is the coordinator.
     :ivar host_count: number of hosts that dispatch requests, with this one.
+    :ivar open_takeovers: number of takeovers whose outcome is not known yet.
     """
 
     def __init__(
@@ -148,6 +149,7 @@
         self.store_backoff_s = STORE_RETRY_S
         self.is_stopping = False
         self.promise = Promise()
+        self.open_takeovers = 0
         self.server: asyncio.Server | None = None
         self.peer_links: set[HostLink] = set()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -199,8 +201,32 @@
         after: int | None = None
         while True:
             await self.relay.must_poll.wait()
+            if self.leadership is not None:
+                # A coordinator polls in a task of its own.
+                await asyncio.sleep(TERM_POLL_S)
+                continue
             try:
-                after = await self._poll_coordinator_table(after)
+                after = await self._poll_coordinator_table(
+                    after, STORE_POLL_S, LONG_POLL_GRACE_S
+                )
+            except HistoryLostError:
+                after = None
+            except PlatformError:
+                # The tasks that watch the platform's tables log an outage.
+                await asyncio.sleep(STORE_RETRY_S)
+
+    async def _watch_store(self, leadership: Leadership) -> None:
+        """Check often during a term whether the store answers.
+
+        The polls of :meth:`follow` last too long for that. One that began
+        before the term may still be open.
+        """
+        after: int | None = None
+        while not leadership.is_over:
+            try:
+                after = await self._poll_coordinator_table(
+                    after, COORDINATOR_POLL_S, COORDINATOR_POLL_GRACE_S
+                )
             except HistoryLostError:
                 after = None
             except PlatformError as error:
@@ -216,11 +242,7 @@
         return self.is_store_lost_to_coordinator
 
     def _record_store_loss(self, error: PlatformError) -> None:
-        """Let more hosts poll the tables for a coordinator without store.
-
-        On other hosts, the tasks that watch the platform's tables log the
-        outage.
-        """
+        """Let more hosts poll the tables for a coordinator without store."""
         leadership = self.leadership
         if leadership is None or leadership.members.is_store_lost:
             return
@@ -244,19 +266,22 @@
             away_s=round(lease_clock() - self.store_lost_at, 3),
         )
 
-    async def _poll_coordinator_table(self, after: int | None) -> int:
+    async def _poll_coordinator_table(
+        self,
+        after: int | None,
+        wait_s: float,
+        grace_s: float,
+    ) -> int:
+        """Read the table, or wait for changes after a version.
+
+        :returns: the version up to which the table has been read.
+        """
         sent_at = lease_clock()
         if after is None:
             state = await self.store.read(COORDINATOR_TABLE)
         else:
-            is_coordinator = self.leadership is not None
             state = await self.store.follow(
-                COORDINATOR_TABLE,
-                after,
-                COORDINATOR_POLL_S if is_coordinator else STORE_POLL_S,
-                COORDINATOR_POLL_GRACE_S
-                if is_coordinator
-                else LONG_POLL_GRACE_S,
+                COORDINATOR_TABLE, after, wait_s, grace_s
             )
         self._apply_rows(state)
         self.has_read_coordinator_row = True
@@ -271,7 +296,9 @@
             if leadership.authority.needs_store(lease_clock()):
                 # The tasks that watch the platform's tables log an outage.
                 with suppress(PlatformError):
-                    await self._poll_coordinator_table(None)
+                    await self._poll_coordinator_table(
+                        None, STORE_POLL_S, LONG_POLL_GRACE_S
+                    )
 
     def _apply_rows(self, state: TableState) -> None:
         for row in state.rows:
@@ -582,8 +609,23 @@
             await DispatchServer(self.forwarder.local_dispatch, link).run()
         elif kind == 'lead':
             self._apply_announcement(first)
-        elif kind == 'hello' and self.leadership is not None:
-            await self._serve_member(self.leadership, link, first)
+        elif kind == 'hello':
+            leadership = await self._await_own_term()
+            if leadership is not None:
+                await self._serve_member(leadership, link, first)
+
+    async def _await_own_term(self) -> Leadership | None:
+        """Return this host's term, or ``None`` if it does not coordinate.
+
+        Other hosts may read of a takeover before the store's answer arrives
+        here. They would try to replace a coordinator that drops them.
+        """
+        ends_at = lease_clock() + CONTACT_TIMEOUT_S
+        while self.leadership is None and self.open_takeovers:
+            if lease_clock() >= ends_at:
+                return None
+            await asyncio.sleep(START_POLL_S)
+        return self.leadership
 
     async def _serve_member(
         self,
@@ -647,6 +689,15 @@
         await asyncio.sleep(min(delay_s / self.capacity, MAX_TAKEOVER_DELAY_S))
         if self.row_version != seen_version:
             return
+        self.open_takeovers += 1
+        try:
+            await self._take_over(reason, predecessor)
+        finally:
+            self.open_takeovers -= 1
+
+    async def _take_over(
+        self, reason: str, predecessor: CoordinatorRow | None
+    ) -> None:
         term = self.row.term + 1 if self.row else 1
         row = CoordinatorRow(self.host, self.address, term, self.nonce)
         outcome = 'won'
@@ -734,6 +785,7 @@
         for address in addresses - {self.address}:
             self.spawn(self._announce_term(address, row, version))
         self.spawn(leadership.run())
+        self.spawn(self._watch_store(leadership))
         self.spawn(self._confirm_authority(leadership))
         self.spawn(self._report_locally(leadership))
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -175,6 +175,7 @@
     :ivar is_down: every call is answered with status 503.
     :ivar is_closing: the connection of every call is closed unanswered.
     :ivar lost_writes: number of next writes that take effect unanswered.
+    :ivar commit_delay_s: time from a write to its answer, in seconds.
     :ivar calls: paths of all calls.
     :ivar polls: tables of the long polls.
     """
@@ -187,6 +188,7 @@
         self.is_down = False
         self.is_closing = False
         self.lost_writes = 0
+        self.commit_delay_s = 0.0
         self.changed = asyncio.Event()
         self.calls: list[str] = []
         self.polls: list[str] = []
@@ -263,6 +265,7 @@
         if self.lost_writes:
             self.lost_writes -= 1
             raise ConnectionError
+        await asyncio.sleep(self.commit_delay_s)
         return self.reply()
 
     def newer(self, table: str, after: int) -> list[dict[str, Any]]:
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -696,6 +696,30 @@
     run_scenario(scenario, hosts=5)
 
 
+def test_takeover_that_others_learn_of_first() -> None:
+    """Guard against takeovers in turn while the store answers slowly.
+
+    The hosts that read of a takeover connected to the new coordinator before
+    the store had answered it. It dropped them, and each tried to replace it.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        await asyncio.sleep(1.0)
+        installation.store.commit_delay_s = 0.3
+        new = next(
+            host
+            for host in installation.hosts
+            if host.coordination.leadership is None
+        )
+        await new.coordination.try_takeover('test')
+        await asyncio.sleep(1.5)
+        assert coordinator_host(installation) is new
+        assert new.coordination.row is not None
+        assert new.coordination.row.term == 2
+
+    run_scenario(scenario, hosts=5)
+
+
 def silence_store(host: HostDaemon) -> None:
     """Let the store answer no call of a host, open ones included."""
 
@@ -709,16 +733,33 @@
     host.relay.read = lambda *call, **named: None  # type: ignore[method-assign]
 
 
-def test_store_that_is_silent_for_the_hosts_that_follow_it() -> None:
+@pytest.mark.parametrize(
+    'commit_delay_s',
+    [
+        pytest.param(0.0, id='first coordinator'),
+        pytest.param(0.1, id='poll that began before the term'),
+    ],
+)
+def test_store_that_is_silent_for_the_hosts_that_follow_it(
+    commit_delay_s: float,
+) -> None:
     """Guard against a configuration that no host reads for seconds.
 
     The store turned away the coordinator and both watchers without a word. A
     silent long poll looks like a table without changes, so all hosts served
-    the old configuration for 4 s after the new one was accepted.
+    the old configuration for 4 s after the new one was accepted. A poll that
+    was answered with the coordinator's own row before its takeover was
+    acknowledged was followed by one of 28 s.
     """
 
     async def scenario(installation: Installation) -> None:
         await asyncio.sleep(1.0)
+        if commit_delay_s:
+            installation.store.commit_delay_s = commit_delay_s
+            old = coordinator_host(installation)
+            new = next(host for host in installation.hosts if host is not old)
+            await new.coordination.try_takeover('test')
+            await asyncio.sleep(1.0)
         leader = coordinator_host(installation)
         leadership = leader.coordination.leadership
         assert leadership is not None
