Update the dispatching hosts of upstreams at the cost of what changed

Cause: each change of the list of hosts discarded the choice for every upstream, and each host computed it again over all hosts. With 195 hosts and 233 keyed upstreams that is 45,000 weights a host and change; a fleet that is restarted in turn changes the list some hundred times.

The weight of each choice is kept. A removed host costs its own upstreams, an added one a single weight an upstream. The choice depends on the hosts alone and not on the order of changes.

Tests: tests/test_placing.py; test_change_of_one_host_costs_one_weight_an_upstream fails before.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -610,9 +610,7 @@
         elif kind == 'lead':
             self._apply_announcement(first)
         elif kind == 'hello':
-            leadership = await self._await_own_term()
-            if leadership is not None:
-                await self._serve_member(leadership, link, first)
+            await self._serve_member(link, first)
 
     async def _await_own_term(self) -> Leadership | None:
         """Return this host's term, or ``None`` if it does not coordinate.
@@ -627,12 +625,10 @@
             await asyncio.sleep(START_POLL_S)
         return self.leadership
 
-    async def _serve_member(
-        self,
-        leadership: Leadership,
-        link: HostLink,
-        hello: Message,
-    ) -> None:
+    async def _serve_member(self, link: HostLink, hello: Message) -> None:
+        leadership = await self._await_own_term()
+        if leadership is None:
+            return
         address = str(hello['address'])
         member = Member(
             address,
@@ -651,21 +647,31 @@
         try:
             while not leadership.is_over:
                 report = await link.receive(CONTACT_TIMEOUT_S)
-                if report['kind'] == 'rows':
-                    self.relay.receive(report)
-                    continue
-                if report['kind'] == 'acknowledge':
-                    at = float(report['at'])
-                    leadership.authority.record_acknowledgement(member.run, at)
-                    continue
-                if report.get('ready'):
-                    leadership.members.set_ready(link)
-                if report.get('leaving'):
-                    leadership.members.set_leaving(link)
-                self._apply_report(leadership, report)
+                self._handle_report(leadership, link, member, report)
         finally:
             leadership.members.drop(link)
 
+    def _handle_report(
+        self,
+        leadership: Leadership,
+        link: HostLink,
+        member: Member,
+        report: Message,
+    ) -> None:
+        """Handle a message of a host that is connected to this coordinator."""
+        if report['kind'] == 'rows':
+            self.relay.receive(report)
+            return
+        if report['kind'] == 'acknowledge':
+            at = float(report['at'])
+            leadership.authority.record_acknowledgement(member.run, at)
+            return
+        if report.get('ready'):
+            leadership.members.set_ready(link)
+        if report.get('leaving'):
+            leadership.members.set_leaving(link)
+        self._apply_report(leadership, report)
+
     def _reachable_term(self) -> int:
         if self.leadership is not None and not self.leadership.is_stuck():
             return self.leadership.row.term
--- a/src/oriolearch/placing.py
+++ b/src/oriolearch/placing.py
@@ -8,8 +8,8 @@
 import asyncio
 import itertools
 import zlib
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 from oriolearch.adapters.host_links import HostLink, Message, connect
@@ -23,6 +23,7 @@
 DISPATCH_TIMEOUT_S = 0.4
 HEARTBEAT_PERIOD_S = 0.1  # between heartbeats while a request is queued
 RECONNECT_DELAY_S = 0.5  # delay before an unreachable host is tried again
+MAX_KEPT_SUBJECTS = 10_000  # upstreams whose dispatching host is remembered
 
 _MASK = (1 << 64) - 1
 # From the finalizer of MurmurHash3; mixes all input bits.
@@ -379,22 +380,71 @@
                 future.set_exception(DispatchHostLostError(self.address))
 
 
+@dataclass(slots=True)
+class _Rendezvous:
+    """The host with the highest weight for each subject, over some hosts.
+
+    Results are kept, and a change of the hosts updates them at the cost of
+    the hosts that changed.
+
+    :ivar seeds: part of the weight that depends on the host only.
+    :ivar winners: weight and host by subject, as computed so far.
+    """
+
+    seeds: dict[str, int] = field(default_factory=dict)
+    winners: dict[str, tuple[int, str]] = field(default_factory=dict)
+
+    def set_hosts(self, hosts: Iterable[str]) -> None:
+        """Replace the hosts."""
+        before = self.seeds
+        self.seeds = {
+            host: before.get(host) or _host_seed(host) for host in hosts
+        }
+        if len(self.winners) > MAX_KEPT_SUBJECTS:
+            # Most of these upstreams have ended.
+            self.winners.clear()
+        added = self.seeds.keys() - before.keys()
+        for subject, (weight, host) in list(self.winners.items()):
+            if host not in self.seeds:
+                del self.winners[subject]
+            elif added:
+                self.winners[subject] = max(
+                    (weight, host), self._highest(added, subject)
+                )
+
+    def find(self, subject: str) -> str:
+        """Return the host of a subject."""
+        winner = self.winners.get(subject)
+        if winner is None:
+            winner = self._highest(self.seeds, subject)
+            self.winners[subject] = winner
+        return winner[1]
+
+    def _highest(self, hosts: Iterable[str], subject: str) -> tuple[int, str]:
+        subject_seed = zlib.crc32(subject.encode())
+        return max(
+            (_mix(self.seeds[host] | subject_seed), host) for host in hosts
+        )
+
+
 class ReservationRouter:
     """Reserves capacity through the dispatching host of each upstream.
 
     :param address: of this host, as the coordinator lists it.
     :ivar hosts: capacity of each host that dispatches, by address.
-    :ivar largest_hosts: addresses of the hosts with the highest capacity.
-    :ivar dispatching_hosts: address by upstream or pool, as computed so far.
+    :ivar owner_hosts: dispatching hosts of keyed upstreams.
+    :ivar pool_hosts: dispatching hosts of whole pools, which are hosts of the
+        highest capacity. A pool is a far higher load than one upstream.
     """
 
     def __init__(self, address: str, local_dispatch: LocalDispatch) -> None:
         self.address = address
         self.local_dispatch = local_dispatch
-        self.hosts: dict[str, float] = {address: 1.0}
-        self.largest_hosts: list[str] = [address]
+        self.hosts: dict[str, float] = {}
+        self.owner_hosts = _Rendezvous()
+        self.pool_hosts = _Rendezvous()
         self.clients: dict[str, DispatchClient] = {}
-        self.dispatching_hosts: dict[str, str] = {}
+        self.set_dispatching_hosts({address: 1.0})
 
     def set_dispatching_hosts(self, hosts: Mapping[str, float]) -> None:
         """Set the hosts that dispatch, with the capacity of each."""
@@ -402,8 +452,10 @@
             return
         self.hosts = dict(hosts)
         highest = max(hosts.values())
-        self.largest_hosts = [host for host in hosts if hosts[host] >= highest]
-        self.dispatching_hosts.clear()
+        self.owner_hosts.set_hosts(hosts)
+        self.pool_hosts.set_hosts(
+            host for host in hosts if hosts[host] >= highest
+        )
         for address in list(self.clients):
             if address not in hosts:
                 self.clients.pop(address).close()
@@ -414,17 +466,9 @@
         owner: Incarnation | None,
     ) -> str:
         """Return the dispatching host of an upstream, or of a whole pool."""
-        subject = owner.text() if owner else pool
-        host = self.dispatching_hosts.get(subject)
-        if host is None:
-            # A pool is a far higher load than one upstream.
-            hosts = self.hosts if owner else self.largest_hosts
-            host = max(
-                hosts,
-                key=lambda address: _rendezvous_weight(address, subject),
-            )
-            self.dispatching_hosts[subject] = host
-        return host
+        if owner is None:
+            return self.pool_hosts.find(pool)
+        return self.owner_hosts.find(owner.text())
 
     async def reserve(
         self,
@@ -561,9 +605,12 @@
     )
 
 
-def _rendezvous_weight(host: str, subject: str) -> int:
-    """Return the rendezvous weight of a host for an upstream or pool."""
-    seed = zlib.crc32(host.encode()) << 32 | zlib.crc32(subject.encode())
+def _host_seed(host: str) -> int:
+    return zlib.crc32(host.encode()) << 32
+
+
+def _mix(seed: int) -> int:
+    """Return a weight in which each bit depends on all bits of the seed."""
     for _ in range(2):
         seed = ((seed ^ seed >> 33) * _MIX_MULTIPLIER) & _MASK
     return seed ^ seed >> 33
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,81 @@
+"""Tests of the choice of a dispatching host."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from oriolearch import placing
+from oriolearch.core.directory import Incarnation
+from oriolearch.placing import LocalDispatch, ReservationRouter
+
+OWNERS = [Incarnation(f'i-{number}', 1) for number in range(60)]
+
+
+def make_router(hosts: dict[str, float]) -> ReservationRouter:
+    router = ReservationRouter('h0', LocalDispatch())
+    router.set_dispatching_hosts(hosts)
+    return router
+
+
+def choices(router: ReservationRouter) -> list[str]:
+    return [
+        router.find_dispatching_host('orders', owner)
+        for owner in (*OWNERS, None)
+    ]
+
+
+@pytest.mark.parametrize('seed', range(12))
+def test_hosts_that_change_in_turn_give_the_same_choice(seed: int) -> None:
+    """Guard against hosts that send one upstream's requests to two hosts.
+
+    Each host hears of changes in batches of its own, so the choice may depend
+    on the hosts alone and not on the way to them.
+    """
+    rng = random.Random(seed)
+    names = [f'10.0.0.{number}:7000' for number in range(30)]
+    router = make_router({'h0': 1.0})
+    for _ in range(20):
+        hosts = {
+            name: rng.choice((0.43, 2.15))
+            for name in rng.sample(names, rng.randint(1, 30))
+        }
+        router.set_dispatching_hosts(hosts)
+        if rng.choice((True, False)):
+            assert choices(router) == choices(make_router(hosts))
+    assert choices(router) == choices(make_router(hosts))
+
+
+def test_change_of_one_host_costs_one_weight_an_upstream(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against work that grows with hosts times upstreams.
+
+    A fleet of 195 hosts that is restarted in turn changes the list 390 times.
+    """
+    hosts = {f'h{number}': 1.0 for number in range(195)}
+    router = make_router(hosts)
+    choices(router)
+    calls: list[int] = []
+    mix = placing._mix
+
+    def count_mix(seed: int) -> int:
+        calls.append(seed)
+        return mix(seed)
+
+    monkeypatch.setattr(placing, '_mix', count_mix)
+    router.set_dispatching_hosts({**hosts, 'new': 1.0})
+    choices(router)
+    assert len(calls) <= len(OWNERS) + 1
+
+
+def test_dispatching_hosts_share_the_upstreams() -> None:
+    """Guard against a choice that gives one host most of the work."""
+    hosts = {f'10.1.0.{number}:7020': 1.0 for number in range(20)}
+    owners = [Incarnation(f'i-{number:x}', 1) for number in range(2000)]
+    router = make_router(hosts)
+    counts = Counter(
+        router.find_dispatching_host('orders', owner) for owner in owners
+    )
+    assert len(counts) == len(hosts)
+    assert max(counts.values()) < 2 * len(owners) / len(hosts)
