Update only the upstreams that changed

The registry tells its listeners which upstreams changed; dispatchers update those. A new configuration or zone still updates all.

--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -84,6 +84,8 @@
     :ivar paused_until: end of the pause after it shed or failed requests.
     :ivar last_contact_at: time of its last answer of any kind.
     :ivar recent: times of the assignments in the last second.
+    :ivar is_listed: whether the store lists it; if not, it is kept until its
+        requests have ended.
     """
 
     entry: UpstreamEntry
@@ -100,6 +102,7 @@
     cold_refilled_at: float = 0.0
     recent: deque[float] = field(default_factory=deque)
     is_usable: bool = True
+    is_listed: bool = True
 
     def count_recent(self, now: float) -> int:
         """Return the number of requests assigned in the last second."""
@@ -179,18 +182,45 @@
         :param cold_until: end of the cold start of each cold upstream.
         """
         allowed = set(usable)
-        upstreams: dict[Incarnation, UpstreamState] = {}
+        former = set(self.upstreams)
         for entry in entries:
-            upstream = self.upstreams.get(entry.ref) or UpstreamState(entry)
-            upstream.entry = entry
-            upstream.is_usable = entry.ref in allowed
-            upstream.update_cold(now, cold_until.get(entry.ref, 0.0))
-            upstreams[entry.ref] = upstream
-        for ref, upstream in self.upstreams.items():
-            if ref not in upstreams and upstream.running:
-                upstream.is_usable = False
-                upstreams[ref] = upstream
-        self.upstreams = upstreams
+            former.discard(entry.ref)
+            self.put_upstream(
+                now,
+                entry,
+                is_usable=entry.ref in allowed,
+                cold_until=cold_until.get(entry.ref, 0.0),
+            )
+        for ref in former:
+            self.remove_upstream(ref)
+
+    def put_upstream(
+        self,
+        now: float,
+        entry: UpstreamEntry,
+        *,
+        is_usable: bool,
+        cold_until: float,
+    ) -> None:
+        """Add or update one upstream of the pool."""
+        upstream = self.upstreams.get(entry.ref)
+        if upstream is None:
+            upstream = UpstreamState(entry)
+            self.upstreams[entry.ref] = upstream
+        upstream.entry = entry
+        upstream.is_listed = True
+        upstream.is_usable = is_usable
+        upstream.update_cold(now, cold_until)
+
+    def remove_upstream(self, ref: Incarnation) -> None:
+        """Remove an upstream, now or once its requests have ended."""
+        upstream = self.upstreams.get(ref)
+        if upstream is None:
+            return
+        upstream.is_listed = False
+        upstream.is_usable = False
+        if not upstream.running:
+            del self.upstreams[ref]
 
     def submit(self, now: float, request: QueuedRequest) -> None:
         """Assign a request to an upstream, queue it or refuse it."""
@@ -293,8 +323,12 @@
 
     def release(self, request: QueuedRequest) -> None:
         """Release the reservation of a request that has ended."""
-        if request.assigned_to is not None:
-            request.assigned_to.running.pop(request, None)
+        upstream = request.assigned_to
+        if upstream is None:
+            return
+        upstream.running.pop(request, None)
+        if not upstream.is_listed:
+            self.remove_upstream(upstream.entry.ref)
 
     def _assign(
         self, now: float, request: QueuedRequest, upstream: UpstreamState
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -16,6 +16,7 @@
 )
 from oriolearch.core.directory import (
     Incarnation,
+    PoolPlan,
     Repeat,
     RoutePlan,
     UpstreamEntry,
@@ -36,7 +37,7 @@
     ReservationRouter,
 )
 from oriolearch.ports import AnswerFacts, RequestHead
-from oriolearch.registry import Registry
+from oriolearch.registry import Changes, Registry
 
 CALLER_MARGIN_S = 0.02  # time for the answer to travel back to the caller
 # Wait beyond the deadline, so that an upstream's own refusal at the deadline
@@ -250,32 +251,51 @@
                 if owners.find(job.key).owner != job.owner:
                     future.set_exception(QueuedOwnerMovedError(pool))
 
-    def refresh(self) -> None:
+    def refresh(self, changes: Changes) -> None:
         """Apply changes of the registry to the dispatchers."""
         directory = self.registry.directory
         if directory is None:
             return
         now = loop_clock()
-        for plan in directory.pools.values():
-            dispatcher = self.local_dispatch.dispatchers.get(plan.name)
-            if dispatcher is None:
-                dispatcher = Dispatcher(plan, self.rng, self.cold_burst)
-                self.local_dispatch.dispatchers[plan.name] = dispatcher
-                self.retries[plan.name] = Budget(
-                    self.retry_share,
-                    self.retry_burst,
-                    self.retry_burst,
-                )
-            dispatcher.plan = plan
-            dispatcher.set_upstreams(
-                now,
-                self.registry.callable_upstreams(plan.name).values(),
-                self.registry.usable_upstreams(plan.name),
-                self.registry.cold_until,
-            )
-        self._close_unused_links()
+        if changes.is_whole:
+            for plan in directory.pools.values():
+                self._refresh_pool(now, plan)
+        else:
+            for ref in changes.upstreams:
+                self._refresh_upstream(now, ref)
         self.local_dispatch.assign_queued()
 
+    def _refresh_pool(self, now: float, plan: PoolPlan) -> None:
+        dispatcher = self.local_dispatch.dispatchers.get(plan.name)
+        if dispatcher is None:
+            dispatcher = Dispatcher(plan, self.rng, self.cold_burst)
+            self.local_dispatch.dispatchers[plan.name] = dispatcher
+            self.retries[plan.name] = Budget(
+                self.retry_share,
+                self.retry_burst,
+                self.retry_burst,
+            )
+        dispatcher.plan = plan
+        dispatcher.set_upstreams(
+            now,
+            self.registry.callable_upstreams(plan.name).values(),
+            self.registry.usable_upstreams(plan.name),
+            self.registry.cold_until,
+        )
+
+    def _refresh_upstream(self, now: float, ref: Incarnation) -> None:
+        entry = self.registry.find_callable(ref)
+        for pool, dispatcher in self.local_dispatch.dispatchers.items():
+            if entry is None or entry.pool != pool:
+                dispatcher.remove_upstream(ref)
+            else:
+                dispatcher.put_upstream(
+                    now,
+                    entry,
+                    is_usable=self.registry.is_usable(entry),
+                    cold_until=self.registry.cold_until.get(ref, 0.0),
+                )
+
     async def run(self) -> None:
         """Check queued requests, heartbeats and timeouts periodically."""
         while True:
@@ -285,8 +305,9 @@
             self.reservation_router.drop_if_silent()
 
     def close_idle_links(self) -> None:
-        """Close upstream connections whose idle timeout has passed."""
+        """Close upstream connections that are no longer of use."""
         now = loop_clock()
+        self._close_unused_links()
         for pool in self.link_pools.values():
             pool.close_expired(now)
 
--- a/src/oriolearch/registry.py
+++ b/src/oriolearch/registry.py
@@ -25,6 +25,19 @@
 COLD_MARGIN_S = 0.5  # added to the announced end of a cold start
 
 
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """What changed since the listeners were last notified.
+
+    :param upstreams: upstreams whose entries, or whose use, changed.
+    :param is_whole: whether the configuration or the zones out of service
+        changed, which may affect every upstream.
+    """
+
+    upstreams: frozenset[Incarnation]
+    is_whole: bool
+
+
 @dataclass(slots=True)
 class _Removed:
     entry: UpstreamEntry
@@ -38,6 +51,8 @@
     :ivar directory: ``None`` until a configuration has been read.
     :ivar removed: upstreams whose entries were removed or replaced.
     :ivar ended: runs of upstreams that a later run has replaced.
+    :ivar changed: upstreams that changed since the last notification.
+    :ivar has_changed_whole: whether a change since then affects all of them.
     """
 
     def __init__(self) -> None:
@@ -49,16 +64,17 @@
         self.cold_until: dict[Incarnation, float] = {}
         self.is_read = False
         self.store_outage_at = float('-inf')
-        self.listeners: list[Callable[[], None]] = []
+        self.listeners: list[Callable[[Changes], None]] = []
         self.is_batching = False
-        self.has_pending_change = False
+        self.changed: set[Incarnation] = set()
+        self.has_changed_whole = False
 
     def set_directory(self, directory: Directory) -> bool:
         """Apply a configuration unless a newer one is in force."""
         if self.directory and directory.version < self.directory.version:
             return False
         self.directory = directory
-        self._notify()
+        self._notify_whole()
         return True
 
     def set_zones_out(self, now: float, zones: frozenset[str]) -> None:
@@ -68,7 +84,7 @@
         for entry in self.entries.values():
             if entry.zone in back:
                 self._set_cold(now, entry, self._cold_start_s(entry))
-        self._notify()
+        self._notify_whole()
 
     def put(self, now: float, entry: UpstreamEntry) -> bool:
         """Apply an upstream's entry unless it is older than the present one.
@@ -84,11 +100,12 @@
         if present is not None and present.ref != entry.ref:
             self._mark_removed(now, present)
             self.ended.add(present.ref)
+            self.changed.add(present.ref)
         self.removed.pop(entry.ref, None)
         self.entries[entry.ref.name] = entry
         if entry.cold_for_s > 0:
             self._set_cold(now, entry, entry.cold_for_s)
-        self._notify()
+        self._notify(entry.ref)
         return True
 
     def remove(self, now: float, name: str) -> None:
@@ -96,7 +113,7 @@
         present = self.entries.pop(name, None)
         if present is not None:
             self._mark_removed(now, present)
-            self._notify()
+            self._notify(present.ref)
 
     def record_store_outage(self, now: float) -> None:
         """Record that the store does not answer, or did not until now."""
@@ -113,21 +130,30 @@
             and not self.is_cold(now, ref)
         ):
             self._set_cold(now, entry, cold_for_s)
-            self._notify()
+            self._notify(ref)
 
     def apply_due_removals(self, now: float) -> None:
         """Make removals effective whose delay is over."""
-        has_changed = False
+        due = []
         for ref, removed in list(self.removed.items()):
             if now - removed.at > RELEASE_WINDOW_S:
                 del self.removed[ref]
+                due.append(ref)
             elif not removed.is_effective and now >= self._effective_at(
                 removed
             ):
                 removed.is_effective = True
-                has_changed = True
-        if has_changed:
-            self._notify()
+                due.append(ref)
+        if due:
+            self._notify(*due)
+
+    def find_callable(self, ref: Incarnation) -> UpstreamEntry | None:
+        """Return the entry of an upstream if it can be called."""
+        entry = self.entries.get(ref.name)
+        if entry is not None and entry.ref == ref:
+            return entry
+        removed = self.removed.get(ref)
+        return removed.entry if removed else None
 
     def callable_upstreams(self, pool: str) -> dict[Incarnation, UpstreamEntry]:
         """Return the upstreams of a pool that can be called."""
@@ -146,14 +172,15 @@
         return {
             ref: entry
             for ref, entry in self.callable_upstreams(pool).items()
-            if self._is_usable(entry)
+            if self.is_usable(entry)
         }
 
     def is_cold(self, now: float, ref: Incarnation) -> bool:
         """Return whether an upstream is in its cold start."""
         return now < self.cold_until.get(ref, 0.0)
 
-    def _is_usable(self, entry: UpstreamEntry) -> bool:
+    def is_usable(self, entry: UpstreamEntry) -> bool:
+        """Return whether a callable upstream may be assigned requests."""
         if entry.is_draining or entry.zone in self.zones_out:
             return False
         removed = self.removed.get(entry.ref)
@@ -183,20 +210,26 @@
     def batch_changes(self) -> Iterator[None]:
         """Notify the listeners once of all changes made in the block."""
         self.is_batching = True
-        self.has_pending_change = False
         try:
             yield
         finally:
             self.is_batching = False
-            if self.has_pending_change:
+            if self.changed or self.has_changed_whole:
                 self._notify()
 
-    def _notify(self) -> None:
-        self.has_pending_change = True
+    def _notify_whole(self) -> None:
+        self.has_changed_whole = True
+        self._notify()
+
+    def _notify(self, *upstreams: Incarnation) -> None:
+        self.changed.update(upstreams)
         if self.is_batching:
             return
+        changes = Changes(frozenset(self.changed), self.has_changed_whole)
+        self.changed.clear()
+        self.has_changed_whole = False
         for listener in self.listeners:
-            listener()
+            listener(changes)
 
 
 def _recency(entry: UpstreamEntry) -> tuple[int, int]:
