Poll the kernel less often in a busy loop; check queues only when they are used

The event loop of a host polls in every fourth of such iterations. Queued requests are checked each 30 ms while there are any; silent dispatching hosts are noticed by the tick of 0.1 s, which runs anyway.

--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -297,12 +297,15 @@
                 )
 
     async def run(self) -> None:
-        """Check queued requests, heartbeats and timeouts periodically."""
+        """Check queued requests periodically while there are any."""
+        dispatch = self.local_dispatch
         while True:
-            await asyncio.sleep(QUEUE_CHECK_PERIOD_S)
-            self.local_dispatch.assign_queued()
-            self.local_dispatch.send_heartbeat()
-            self.reservation_router.drop_if_silent()
+            await dispatch.has_queued.wait()
+            dispatch.has_queued.clear()
+            while dispatch.decision_callbacks:
+                await asyncio.sleep(QUEUE_CHECK_PERIOD_S)
+                dispatch.assign_queued()
+                dispatch.send_heartbeat()
 
     def close_idle_links(self) -> None:
         """Close upstream connections that are no longer of use."""
--- a/src/oriolearch/placing.py
+++ b/src/oriolearch/placing.py
@@ -80,6 +80,7 @@
     """Runs the dispatchers of the upstreams that this host dispatches.
 
     :ivar on_cold: called when an upstream reports a cold start.
+    :ivar has_queued: set when a request is queued.
     """
 
     def __init__(self) -> None:
@@ -87,6 +88,7 @@
         self.decision_callbacks: dict[QueuedRequest, DecisionCallback] = {}
         self.on_cold: Callable[[Incarnation, float], None] = _ignore_cold
         self.servers: set[DispatchServer] = set()
+        self.has_queued = asyncio.Event()
         self.next_heartbeat_at = 0.0
 
     def submit(
@@ -110,6 +112,7 @@
             on_decided(request)
         else:
             self.decision_callbacks[request] = on_decided
+            self.has_queued.set()
 
     def withdraw(self, pool: str, request: QueuedRequest) -> None:
         """Remove a queued request, or release the reservation of another."""
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -17,6 +17,7 @@
 from oriolearch.coordination import Coordination, HostIdentity
 from oriolearch.core.errors import ValidationError
 from oriolearch.eventlog import Event, EventLog, configure_pipe_logging
+from oriolearch.eventloop import new_event_loop
 from oriolearch.forwarding import Forwarder
 from oriolearch.gauges import render_host_gauges
 from oriolearch.platform.settings import HostSettings, load_settings
@@ -28,7 +29,9 @@
 from oriolearch.relaying import Relay
 
 READY_PATH = b'/readiness'
-TICK_S = 0.1  # removals of upstreams take effect at most this late
+# Removals of upstreams take effect, and silent hosts are noticed, at most this
+# late.
+TICK_S = 0.1
 SWEEP_PERIOD_TICKS = 5  # idle connections are checked each half second
 # Time for two readiness checks of the platform, one second apart, after which
 # callers no longer connect to a stopping host.
@@ -175,6 +178,7 @@
             ticks += 1
             now = loop.time()
             self.registry.apply_due_removals(now)
+            self.forwarder.reservation_router.drop_if_silent()
             if ticks % SWEEP_PERIOD_TICKS == 0:
                 self._run_housekeeping(now)
 
@@ -248,5 +252,6 @@
     except ValidationError as error:
         EventLog().emit(Event.SETTINGS_REJECTED, error=str(error))
         return 2
-    asyncio.run(HostDaemon(settings).run())
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        runner.run(HostDaemon(settings).run())
     return 0
