Refuse requests at once when the leases of a pool have lapsed

Cause: a coordinator that is lost inside an outage of the store cannot be replaced, so all leases lapse after 2.5 s.

What a 421 may teach: one from an owner tells nothing about others, since its keys may have moved. Three owners that refuse, while no coordinator that may grant is in contact and no upstream has run a request of the pool, mean that leases are not renewed. Requests are then refused with 503 and the time that the outage has lasted, from 0.5 to 2 s and spread; one in 0.3 s is sent to find out whether keys are owned again. Contact with a coordinator ends this at once; heartbeats tell whether it may grant. Weighed and left: a deputy that renews the same leases in an outage, which needs the state of all ranges on a second host and a proof with the witnesses.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -106,6 +106,8 @@
     :ivar row: the last coordinator row that this host received.
     :ivar leadership: this host's own term, if it is the coordinator.
     :ivar host_count: number of hosts that dispatch requests, with this one.
+    :ivar granting_contact_at: time of the last message of a coordinator that
+        may grant and renew leases.
     :ivar open_takeovers: number of takeovers whose outcome is not known yet.
     """
 
@@ -140,6 +142,7 @@
         self.peers: list[str] = []
         self.last_contact_at = float('-inf')
         self.last_contact_term = 0
+        self.granting_contact_at = float('-inf')
         self.contact_lost_at = float('-inf')
         self.failed_connects = 0
         self.owners_read_at = float('-inf')
@@ -154,6 +157,7 @@
         self.peer_links: set[HostLink] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         forwarder.count_key = self.count_key
+        forwarder.hears_coordinator = self.hears_coordinator
 
     def count_key(self, pool: str, key: int) -> None:
         """Count a request for a key."""
@@ -488,6 +492,9 @@
             )
         self.last_contact_at = lease_clock()
         self.last_contact_term = row.term
+        if message.get('grants', True):
+            self.granting_contact_at = self.last_contact_at
+            self.forwarder.lapsed_leases.clear()
         self.is_store_lost_to_coordinator = bool(message.get('store_lost'))
         self._apply_hosts(message)
         if message.get('stuck'):
@@ -679,6 +686,12 @@
             return self.last_contact_term
         return 0
 
+    def hears_coordinator(self) -> bool:
+        """Return whether a coordinator that can renew leases is in contact."""
+        if self.leadership is not None:
+            return self.leadership.has_authority()
+        return lease_clock() - self.granting_contact_at < CONTACT_TIMEOUT_S
+
     def _apply_report(self, leadership: Leadership, report: Message) -> None:
         for pool, counts in report['keys'].items():
             leadership.count_keys(pool, {int(key): n for key, n in counts})
@@ -783,6 +796,7 @@
             leadership.limit_predecessor(leadership.began_at)
         self.spawn(Succession(leadership, predecessor, self.log).run())
         self.leadership = leadership
+        self.forwarder.lapsed_leases.clear()
         self.relay.set_relayed(False)
         self.relay.forward = leadership.members.send_rows
         addresses = set(self.forwarder.reservation_router.hosts)
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -23,6 +23,7 @@
 )
 from oriolearch.core.dispatching import Dispatcher, QueuedRequest
 from oriolearch.core.keyranges import OwnerMap
+from oriolearch.core.lapses import LapsedLeases
 from oriolearch.core.retries import Budget
 from oriolearch.clock import lease_clock, loop_clock
 from oriolearch.eventlog import Event, EventLog
@@ -158,6 +159,7 @@
     :ivar pool_shares: by route, how far each pool is below its share of the
         requests.
     :ivar count_key: called with the pool and key of each keyed request.
+    :ivar hears_coordinator: returns whether changes of owners arrive.
     """
 
     def __init__(
@@ -186,6 +188,8 @@
         self.owner_waits: dict[asyncio.Future[None], _ForwardedRequest] = {}
         self.pool_shares: dict[str, dict[str, float]] = {}
         self.count_key: Callable[[str, int], None] = _ignore_key
+        self.hears_coordinator: Callable[[], bool] = _is_always_in_contact
+        self.lapsed_leases = LapsedLeases()
         self.latencies = Latencies()
         self.retry_share = 0.0
         self.retry_burst = 1.0
@@ -486,6 +490,7 @@
         owners = self.owner_map(job.pool)
         key_range = owners.find(job.key)
         if key_range.owner is not None:
+            self._check_lapse(job)
             return key_range.owner
         expected_s = key_range.expected_at - lease_clock()
         if expected_s > MAX_EXPECTED_OWNER_WAIT_S:
@@ -509,6 +514,19 @@
             del self.owner_waits[owner_found]
         return await self._find_owner(job)
 
+    def _check_lapse(self, job: _ForwardedRequest) -> None:
+        """Refuse a request if the leases of its pool have lapsed.
+
+        Retry-After varies, so that callers do not return at the same time.
+
+        :raises _RefusedError: when they have.
+        """
+        after_s = self.lapsed_leases.find_retry_after(loop_clock(), job.pool)
+        if after_s is not None:
+            raise self._make_refusal(
+                job, 'leases-lapsed', after_s * (1 + self.rng.random())
+            )
+
     def _make_refusal(
         self,
         job: _ForwardedRequest,
@@ -602,10 +620,13 @@
                 status=answer.status,
                 load=facts.load,
             )
+            if facts.is_misdirected and job.is_keyed:
+                self._record_lapse(job.pool, entry.ref)
             is_shed = not facts.is_misdirected
             kind = EndKind.SHED if is_shed else EndKind.OTHER
             return None, _make_result(kind, latency_s, facts)
         job.possible_runs += 1
+        self.lapsed_leases.record_run(job.pool)
         reply: Reply | None = None
         kind = EndKind.ANSWERED
         if not facts.is_intact:
@@ -620,6 +641,10 @@
                 kind = EndKind.FAILED
         return reply, _make_result(kind, latency_s, facts)
 
+    def _record_lapse(self, pool: str, owner: Incarnation) -> None:
+        if not self.hears_coordinator():
+            self.lapsed_leases.record_refusal(loop_clock(), pool, owner)
+
     def _record_cold(self, ref: Incarnation, cold_for_s: float) -> None:
         self.registry.record_cold(loop_clock(), ref, cold_for_s)
 
@@ -682,3 +707,7 @@
 
 def _ignore_key(pool: str, key: int) -> None:
     """Ignore the key."""
+
+
+def _is_always_in_contact() -> bool:
+    return True
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -594,6 +594,7 @@
             'kind': 'beat',
             'term': self.row.term,
             'stuck': self.is_stuck(),
+            'grants': self.has_authority(),
             'store_lost': self.members.is_store_lost,
         }
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -294,6 +294,7 @@
     :ivar grants: last key, fencing token and expiry by first key.
     :ivar fences: first key, last key and fencing token of all grants so far.
     :ivar ran: ids of the requests that it ran.
+    :ivar misdirected: number of requests for keys that it did not hold.
     :ivar cold_ms: remaining cold start that it reports.
     :ivar is_plain: whether its service has no keys and rejects grants.
     """
@@ -305,6 +306,7 @@
         self.grants: dict[int, tuple[int, int, float]] = {}
         self.fences: list[tuple[int, int, int]] = []
         self.ran: list[str] = []
+        self.misdirected = 0
         self.cold_ms = 0
         self.is_plain = False
         self.loop = asyncio.get_running_loop()
@@ -372,6 +374,7 @@
         request_id = request.headers['attempt-id']
         echoed = {'Attempt-Id': request_id}
         if not self.holds(int(request.headers['shard-key'])):
+            self.misdirected += 1
             return 421, {**echoed, 'Not-Executed': '1'}, b''
         self.ran.append(request_id)
         signed = {**echoed, 'Server-Signature': f's-{self.name}-{request_id}'}
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -394,6 +394,35 @@
     run_scenario(scenario)
 
 
+def test_coordinator_is_lost_in_an_outage_of_the_store() -> None:
+    """Guard against requests that wait for keys that nobody can own.
+
+    No host can take over during the outage, so all leases lapse. Requests
+    were sent to upstreams that refused them, again and again.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        await asyncio.sleep(1.0)
+        installation.store.is_down = True
+        await asyncio.sleep(0.3)
+        installation.kill(coordinator_host(installation))
+        await asyncio.sleep(3.5)
+        await installation.send_orders()
+        sent_before = sum(server.misdirected for server in installation.servers)
+        started = asyncio.get_running_loop().time()
+        answers = [await installation.send_order(key) for key in KEYS]
+        took_s = asyncio.get_running_loop().time() - started
+        assert {answer.status for answer in answers} == {503}
+        assert all(answer.header(b'retry-after') for answer in answers)
+        sent = sum(server.misdirected for server in installation.servers)
+        # One in 0.3 s finds out whether the keys are owned again.
+        assert sent - sent_before <= 1 + took_s / 0.3
+        installation.store.is_down = False
+        await installation.wait_until_all_served()
+
+    run_scenario(scenario, servers=4, hosts=3)
+
+
 def test_changes_of_many_servers_need_few_calls() -> None:
     """Guard against a call of the store for each change of a server.
 
