Ignore rows of other hosts that a whole read of the table did not list

Cause (report of another operator: after a restart, a server that had left was in use again): a host that starts reads the whole table and is sent the rows of the coordinator, which may lag behind. A row that the read did not list, with an older version, had been removed, but was applied as new. It stayed until the other host had read the removal, in an outage of the store as long as that.

A table remembers the version of its last whole read; unlisted rows up to that version are ignored. The version of a read in pages is that of the first page, so rows written between the pages are not ignored.

Test: test_row_that_a_whole_read_did_not_list (fails before).

--- a/src/oriolearch/relaying.py
+++ b/src/oriolearch/relaying.py
@@ -22,6 +22,7 @@
     :param on_change: called with changed rows and the table's version.
     :ivar rows: rows by key; removed rows stay, without a value.
     :ivar version: all changes up to this version have been applied.
+    :ivar whole_version: version of the last read of the whole table.
     """
 
     def __init__(self, table: str, on_change: OnChange) -> None:
@@ -29,6 +30,7 @@
         self.on_change = on_change
         self.rows: dict[str, StoredRow] = {}
         self.version = 0
+        self.whole_version = 0
         self.is_read = False
 
     def apply(
@@ -48,6 +50,8 @@
         changed = [row for row in listed if self._is_newer(row)]
         for row in changed:
             self.rows[row.key] = row
+        if is_whole:
+            self.whole_version = max(self.whole_version, version)
         self.version = max(self.version, version)
         if changed or not self.is_read:
             self.is_read = True
@@ -62,7 +66,9 @@
         present = self.rows.get(row.key)
         if present is not None:
             return row.version > present.version
-        return row.value is not None
+        # A row that the whole table did not list at its version or a later one
+        # had been removed by then. A host that lags behind may still send it.
+        return row.value is not None and row.version > self.whole_version
 
     def _missing(
         self,
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -54,6 +54,30 @@
     assert host.relay.versions() == {TABLE: 3}
 
 
+@pytest.mark.parametrize(
+    ('sent', 'is_applied'),
+    [
+        pytest.param(row('b', 50), False, id='removed before the read'),
+        pytest.param(row('b', 101), True, id='added after the read'),
+        pytest.param(row('b', 99, None), False, id='removal known already'),
+    ],
+)
+def test_row_that_a_whole_read_did_not_list(
+    sent: StoredRow, is_applied: bool
+) -> None:
+    """Guard against a server that has left and is used after a restart.
+
+    A host that started read the whole table and then got rows of another host
+    that lagged behind. The removed server was back in use until that host had
+    caught up, which may take as long as an outage of the store.
+    """
+    host = RecordingRelay()
+    host.read(row('a', 1), version=100, is_whole=True)
+    host.receive(sent, version=sent.version)
+    assert host.applied == [('a', False), ('b', False)][: 1 + is_applied]
+    assert host.sent == ['a', 'b'][: 1 + is_applied]
+
+
 def test_older_row_changes_nothing() -> None:
     """A late update from a slow host must not restore a removed row."""
     host = RecordingRelay()
