Ask peers at random about the coordinator

Each host asks eight peers before it takes over, and waits 8 s if it cannot reach most of them. All asked the first eight of the coordinator's list. Hosts of its own zone connect to it first, so these were cut off with it.

Each host asks eight of all hosts at random.

Test: test_peers_of_a_fleet_whose_coordinator_is_cut_off_with_its_zone (no network; the first eight of the list are all cut off).

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -33,7 +33,7 @@
 from oriolearch.forwarding import Forwarder
 from oriolearch.granting import GrantPort
 from oriolearch.leadership import Leadership
-from oriolearch.members import Member
+from oriolearch.members import Member, choose_peers
 from oriolearch.placing import DispatchServer
 from oriolearch.ports import (
     LONG_POLL_GRACE_S,
@@ -55,7 +55,6 @@
 # hosts restart, a coordinator that sends whole tables to each of them delays
 # its heartbeats.
 TABLES_WAIT_S = 0.6
-MAX_PEERS_ASKED = 8  # asked about the coordinator before a takeover
 # One failed connection proves nothing: a coordinator that all hosts connect to
 # at once may be slow to accept, and a host that has just started has no peers
 # to ask.
@@ -545,8 +544,7 @@
     def update_hosts(self, hosts: dict[str, float]) -> None:
         """Update the hosts that dispatch requests, with their capacity."""
         self.host_count = len(hosts)
-        others = [host for host in hosts if host != self.address]
-        self.peers = others[:MAX_PEERS_ASKED]
+        self.peers = choose_peers(hosts, self.address, self.rng)
         self.forwarder.reservation_router.set_dispatching_hosts(hosts)
 
     def update_owners(
--- a/src/oriolearch/members.py
+++ b/src/oriolearch/members.py
@@ -1,6 +1,7 @@
 """The hosts connected to a coordinator, and their duties for it."""
 
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from oriolearch.adapters.host_links import HostLink, Message, encode_line
@@ -8,6 +9,7 @@
 from oriolearch.ports import StoredRow
 from oriolearch.relaying import encode_rows
 
+MAX_PEERS_ASKED = 8
 WATCHERS = 2  # hosts that poll the tables, besides the coordinator
 # Further watchers while the store does not answer the coordinator. The store
 # may turn away some hosts, the coordinator and both watchers among them.
@@ -28,6 +30,18 @@
     run: str
 
 
+def choose_peers(
+    hosts: Iterable[str], own_address: str, rng: random.Random
+) -> list[str]:
+    """Choose the hosts that are asked about the coordinator before a takeover.
+
+    The coordinator lists hosts of its own zone first, as they connect to it
+    first. These are cut off together with it, so the choice is random.
+    """
+    others = [host for host in hosts if host != own_address]
+    return rng.sample(others, min(len(others), MAX_PEERS_ASKED))
+
+
 class Members:
     """Connections of hosts to the coordinator.
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,11 +1,18 @@
 """The hosts connected to a coordinator, without a network."""
 
+import random
 from typing import Any
 
 import pytest
 
 from oriolearch.adapters.host_links import Message, decode_line
-from oriolearch.members import WATCHERS, Member, Members
+from oriolearch.members import (
+    MAX_PEERS_ASKED,
+    WATCHERS,
+    Member,
+    Members,
+    choose_peers,
+)
 
 OWN = Member('h0:1', 'z1', 1.0, 'r0')
 
@@ -107,3 +114,23 @@
     group, links = members(host(1), host(2, capacity=capacity))
     expected = links['h2:1'] if capacity > 1 else links['h1:1']
     assert group.largest() is expected
+
+
+def test_peers_of_a_fleet_whose_coordinator_is_cut_off_with_its_zone() -> None:
+    """Guard against a majority that takes itself for the isolated part.
+
+    All hosts asked the same eight peers, the first that had connected to the
+    coordinator. They were in its zone and could not be reached, so 156 hosts
+    waited for 8 s before one of them took over.
+    """
+    hosts = [f'd{number}:1' for number in range(39)]
+    hosts += [f'{zone}{number}:1' for zone in 'abce' for number in range(39)]
+    isolated = 0
+    for seed in range(1000):
+        peers = choose_peers(hosts, 'a0:1', random.Random(seed))
+        assert len(set(peers)) == MAX_PEERS_ASKED
+        assert 'a0:1' not in peers
+        cut_off = sum(peer.startswith('d') for peer in peers)
+        isolated += 2 * cut_off > len(peers)
+    assert isolated < 50
+    assert choose_peers(['a0:1'], 'a0:1', random.Random(1)) == []
