Poll the tables only after a coordinator was silent for 1.5 s

Cause: each host that lost its coordinator polled the tables at once. A new coordinator is usually heard within half a second, and sends what changed; on 195 hosts each loss cost some 600 calls, priced, and each change of a table as many again until all hosts heard it.

A host polls 1.5 s after the last message of a coordinator, inside the shortest bound of 2 s on new configurations and draining upstreams.

Test: test_replaced_coordinator_needs_few_polls (fails before).

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -61,6 +61,10 @@
 MIN_FAILED_CONNECTS = 2
 # The coordinator counts as lost when no message arrives for this long.
 CONTACT_TIMEOUT_S = 1.0
+# A host polls the tables itself when it has heard no coordinator for this long.
+# Most lost coordinators are replaced by then. The bounds of the platform on new
+# configurations and draining upstreams start at 2 s.
+POLL_AFTER_SILENCE_S = 1.5
 REPORT_PERIOD_S = 0.2  # between reports of key counts to the coordinator
 TERM_POLL_S = 0.1  # a coordinator checks this often whether its term is over
 # Mean delay before a takeover. It is random, so that hosts try in turn.
@@ -501,10 +505,17 @@
 
     def _close_link(self, link: HostLink) -> None:
         link.close()
-        self.relay.set_relayed(False)
+        self.spawn(self._poll_after_silence())
         if self.leadership is None:
             self.relay.forward = discard_rows
 
+    async def _poll_after_silence(self) -> None:
+        """Poll the tables unless a coordinator is heard in time."""
+        polls_at = self.last_contact_at + POLL_AFTER_SILENCE_S
+        await asyncio.sleep(max(polls_at - lease_clock(), 0))
+        if lease_clock() >= self.last_contact_at + POLL_AFTER_SILENCE_S:
+            self.relay.set_relayed(False)
+
     def _update_polling(self, link: HostLink, message: Message) -> None:
         """Poll the tables for all hosts if chosen; else rely on updates."""
         watchers = message.get('watchers')
