Check settings whole before a reload applies them

A reload took over addresses and names as well, which the running host does not use.

Numbers must be finite and not negative, and each error names the field and its value. A reload applies the bounds; event 405 lists the changed settings that wait for the next start.

Tests: ten new cases of test_settings_error_names_the_field, test_reloads_under_load (in series, beside a change of coordinator, beside a stop).

--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -172,8 +172,9 @@
     SETTINGS_READ = EventKind(
         405,
         logging.INFO,
-        ('retry_share', 'retry_burst', 'cold_burst'),
-        'The settings file was reloaded.',
+        ('retry_share', 'retry_burst', 'cold_burst', 'restart_for'),
+        'The settings file was reloaded; `restart_for` names changed settings '
+        'that take effect when the host starts.',
     )
     SETTINGS_REJECTED = EventKind(
         406,
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -6,6 +6,7 @@
 import os
 import random
 import signal
+from dataclasses import replace
 
 from oriolearch.adapters.caller_links import (
     CallerListener,
@@ -20,7 +21,11 @@
 from oriolearch.eventloop import new_event_loop
 from oriolearch.forwarding import Forwarder
 from oriolearch.gauges import render_host_gauges
-from oriolearch.platform.settings import HostSettings, load_settings
+from oriolearch.platform.settings import (
+    HostSettings,
+    changes_for_restart,
+    load_settings,
+)
 from oriolearch.platform.store import StoreClient
 from oriolearch.platform.watching import PlatformWatch
 from oriolearch.platform.wire import GrantCalls, PlatformCodec
@@ -207,18 +212,24 @@
         )
 
     def reload(self) -> None:
-        """Reload the settings file; keep the old settings if it is invalid."""
+        """Apply the bounds of the settings file; keep the old if invalid.
+
+        Addresses, the zone and the capacity take effect at the next start.
+        """
         try:
-            self.settings = load_settings()
+            settings = load_settings()
         except ValidationError as error:
             self.log.emit(Event.SETTINGS_REJECTED, error=str(error))
             return
+        restart_for = changes_for_restart(self.settings, settings)
+        self.settings = replace(self.settings, bounds=settings.bounds)
         self._apply_limits()
         self.log.emit(
             Event.SETTINGS_READ,
             retry_share=self.forwarder.retry_share,
             retry_burst=self.forwarder.retry_burst,
             cold_burst=self.forwarder.cold_burst,
+            restart_for=restart_for,
         )
 
     async def stop(self) -> None:
--- a/src/oriolearch/platform/settings.py
+++ b/src/oriolearch/platform/settings.py
@@ -1,5 +1,6 @@
 """Settings file that the platform writes for each process."""
 
+import math
 import os
 import tomllib
 from dataclasses import dataclass
@@ -111,13 +112,8 @@
         return value
 
     ports = require('port_range', list)
-    if not ports or not isinstance(ports[0], int):
-        raise ValidationError(
-            source,
-            'port_range',
-            ports,
-            'must begin with a port number',
-        )
+    port = _read_number(source, 'port_range', ports[0] if ports else None)
+    metrics_port = fields.get('metrics_port', DEFAULT_METRICS_PORT)
     return HostSettings(
         host=require('node', str),
         ip=require('ip', str),
@@ -125,34 +121,62 @@
         zones=dict(require('zones', dict)),
         entry=require('listen.front', str),
         readiness=require('listen.ready', str),
-        peer_port=ports[0],
+        peer_port=int(port),
         peer_address=str(
             fields.get('peer_address', f'{require("ip", str)}:{ports[0]}'),
         ),
-        metrics_port=int(fields.get('metrics_port', DEFAULT_METRICS_PORT)),
+        metrics_port=int(_read_number(source, 'metrics_port', metrics_port)),
         store=require('platform.address', str),
-        heartbeat_s=float(fields.get('heartbeat_s', 1)),
-        capacity=_read_capacity(fields.get('limits', {})),
-        bounds=_read_bounds(source, fields.get('bounds', {})),
+        heartbeat_s=_read_number(
+            source, 'heartbeat_s', fields.get('heartbeat_s', 1)
+        ),
+        capacity=_read_capacity(source, fields),
+        bounds=_read_bounds(source, fields),
     )
 
 
-def _read_capacity(limits: dict[str, Any]) -> float:
+def changes_for_restart(before: HostSettings, after: HostSettings) -> list[str]:
+    """Return the changed settings that a running host does not apply."""
+    return [
+        name
+        for name in HostSettings.__dataclass_fields__
+        if name != 'bounds' and getattr(before, name) != getattr(after, name)
+    ]
+
+
+def _read_capacity(source: str, fields: dict[str, Any]) -> float:
+    limits = _read_section(source, fields, 'limits')
     share = limits.get('cpu_share', 1)
     cores = limits.get('cores', 1)
-    if not isinstance(share, (int, float)) or not isinstance(cores, int):
-        return 1.0
-    return max(share * cores, MIN_CAPACITY)
+    capacity = _read_number(source, 'limits.cpu_share', share) * _read_number(
+        source, 'limits.cores', cores
+    )
+    return max(capacity, MIN_CAPACITY)
 
 
 def _read_bounds(source: str, fields: dict[str, Any]) -> Bounds:
-    bounds: dict[str, float] = {}
-    for name, setting in _BOUND_SETTINGS.items():
-        value = fields.get(setting)
-        if value is None:
-            continue
-        if not isinstance(value, (int, float)):
-            path = f'bounds.{setting}'
-            raise ValidationError(source, path, value, 'must be a number')
-        bounds[name] = float(value)
+    section = _read_section(source, fields, 'bounds')
+    bounds = {
+        name: _read_number(source, f'bounds.{setting}', section[setting])
+        for name, setting in _BOUND_SETTINGS.items()
+        if section.get(setting) is not None
+    }
     return Bounds(**bounds)
+
+
+def _read_section(
+    source: str, fields: dict[str, Any], name: str
+) -> dict[str, Any]:
+    section = fields.get(name, {})
+    if not isinstance(section, dict):
+        raise ValidationError(source, name, section, 'must be a table')
+    return section
+
+
+def _read_number(source: str, path: str, value: object) -> float:
+    """Return a number that is finite and not negative."""
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    if is_number and 0 <= value < math.inf:  # type: ignore[operator]
+        return value  # type: ignore[return-value]
+    reason = 'must be a number that is finite and not negative'
+    raise ValidationError(source, path, value, reason)
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -6,7 +6,7 @@
 import asyncio
 import os
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -648,6 +648,16 @@
         ('platform', {}),
         ('zones', 'z'),
         ('bounds', {'drain_s': 'soon'}),
+        ('bounds', {'retry_ratio': float('nan')}),
+        ('bounds', {'retry_slack': -1}),
+        ('bounds', {'grace_s': True}),
+        ('bounds', 5),
+        ('limits', 'none'),
+        ('limits', {'cpu_share': float('inf')}),
+        ('limits', {'cores': '2'}),
+        ('metrics_port', 'x'),
+        ('heartbeat_s', [1]),
+        ('port_range', [True, 2]),
     ],
 )
 def test_settings_error_names_the_field(path: str, value: object) -> None:
@@ -665,6 +675,82 @@
         load_settings(missing)
 
 
+Disturbance = Callable[[Installation], Coroutine[Any, Any, None]]
+
+
+def reload_all(
+    installation: Installation,
+    monkeypatch: pytest.MonkeyPatch,
+    fields: dict[str, Any],
+) -> None:
+    """Let all hosts reload a settings file with these fields."""
+    monkeypatch.setattr(
+        'oriolearch.platform.daemon.load_settings',
+        lambda: read_settings('node.toml', fields),
+    )
+    for host in installation.hosts:
+        host.reload()
+
+
+async def leave_alone(installation: Installation) -> None:
+    """Disturb nothing."""
+
+
+async def kill_coordinator(installation: Installation) -> None:
+    installation.kill(coordinator_host(installation))
+
+
+async def stop_first(installation: Installation) -> None:
+    host = installation.hosts[0]
+    await host.stop()
+    installation.kill(host)
+
+
+@pytest.mark.parametrize(
+    'disturb',
+    [
+        pytest.param(leave_alone, id='in series'),
+        pytest.param(kill_coordinator, id='beside a change of coordinator'),
+        pytest.param(stop_first, id='beside a stop'),
+    ],
+)
+def test_reloads_under_load(
+    disturb: Disturbance,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against a reload that affects requests or half applies.
+
+    The settings change often, and every second change is invalid. Orders are
+    sent all the while; run_scenario checks that none runs twice.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        await asyncio.sleep(1.0)
+        last = installation.hosts[-1]
+        entry = last.settings.entry
+        disturbing = asyncio.create_task(disturb(installation))
+        statuses: list[int] = []
+        for number in range(40):
+            ratio = number / 100 if number % 2 else float('nan')
+            fields = {
+                **settings(installation.store.address, 'renamed'),
+                'bounds': {'retry_ratio': ratio, 'grace_s': 6},
+            }
+            reload_all(installation, monkeypatch, fields)
+            key = KEYS[number % len(KEYS)]
+            answer = await installation.send_order(key, host=-1)
+            statuses.append(answer.status)
+            await asyncio.sleep(0.05)
+            assert last.settings.entry == entry
+            valid = (number if number % 2 else number - 1) / 100
+            if valid > 0:
+                assert last.settings.bounds.retry_share == valid
+        await disturbing
+        assert set(statuses) == {200}
+
+    run_scenario(scenario, hosts=3)
+
+
 def coordinator_host(installation: Installation) -> HostDaemon:
     return next(
         host
