Log what a refusal for lack of capacity is based on

Cause: `no-room` told neither the queue nor the report that decided it, so a hot key could not be told from a slow upstream.

Event 411 has `shortage`: usable upstreams, requests at them and ahead in the queue, the expected time of the first answer, and the owner's last report with its age. The dispatching host sends it along; a host of another version without it, or with other fields, is understood. `connection closed: None` reads `connection closed: by the peer`.

Tests: test_refusal_states_what_it_is_based_on, test_reason_of_a_refusal_reaches_the_other_host, test_refusal_of_another_version_has_no_reason.

--- a/src/oriolearch/adapters/upstream_links.py
+++ b/src/oriolearch/adapters/upstream_links.py
@@ -180,7 +180,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the pending request and notify the owner."""
         self.is_closed = True
-        self._fail(f'connection closed: {error}')
+        cause = error or 'by the peer'
+        self._fail(f'connection closed: {cause}')
         self.on_lost(self)
 
     async def exchange(
--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -43,6 +43,28 @@
 WAIT_JITTER_SHARE = 0.05  # waits that differ by less are ordered at random
 
 
+@dataclass(frozen=True, slots=True)
+class Shortage:
+    """What the refusal of a request was based on.
+
+    :param usable: upstreams that could serve the request.
+    :param ahead: queued requests that are served before it.
+    :param soonest_s: expected seconds until the first of the upstreams answers
+        a request that it gets now.
+    :param running: requests of this dispatcher at the upstreams.
+    :param reported_load: running and queued requests that the owner of the
+        key reported last, ``None`` without an owner or a report.
+    :param report_age_s: age of that report.
+    """
+
+    usable: int
+    ahead: int = 0
+    soonest_s: float = 0.0
+    running: int = 0
+    reported_load: int | None = None
+    report_age_s: float | None = None
+
+
 @dataclass(slots=True, eq=False)
 class QueuedRequest:
     """A request that is to be assigned to an upstream.
@@ -59,6 +81,7 @@
     :ivar assigned_to: the upstream that the request is assigned to.
     :ivar retry_after_s: set when the request is refused: seconds after which
         a retry may succeed.
+    :ivar shortage: set when the request is refused: the reasons.
     """
 
     zone: str
@@ -71,6 +94,7 @@
     may_use_cold: bool = True
     assigned_to: 'UpstreamState | None' = None
     retry_after_s: float | None = None
+    shortage: Shortage | None = None
     assigned_at: float = 0.0
 
 
@@ -455,6 +479,7 @@
             if upstream.is_usable and not upstream.is_silent(now)
         ]
         if not usable:
+            request.shortage = Shortage(0, ahead)
             return UNAVAILABLE_RETRY_AFTER_S
         rate = sum(self._service_rate(now, upstream) for upstream in usable)
         soonest_s = min(
@@ -465,7 +490,10 @@
             for upstream in usable
         )
         late_s = now + soonest_s + ahead / rate - request.deadline
-        return None if late_s <= 0 else max(late_s, MIN_RETRY_AFTER_S)
+        if late_s <= 0:
+            return None
+        request.shortage = _describe_shortage(now, usable, ahead, soonest_s)
+        return max(late_s, MIN_RETRY_AFTER_S)
 
     def _service_rate(self, now: float, upstream: UpstreamState) -> float:
         rate = upstream.entry.slots / upstream.service_time_s
@@ -501,3 +529,22 @@
             return list(self.upstreams.values())
         upstream = self.upstreams.get(request.owner)
         return [upstream] if upstream else []
+
+
+def _describe_shortage(
+    now: float,
+    usable: list[UpstreamState],
+    ahead: int,
+    soonest_s: float,
+) -> Shortage:
+    running = sum(len(upstream.running) for upstream in usable)
+    owner = usable[0] if len(usable) == 1 else None
+    has_report = owner is not None and owner.reported_at > float('-inf')
+    return Shortage(
+        len(usable),
+        ahead,
+        round(soonest_s, 4),
+        running,
+        owner.reported_load if owner and has_report else None,
+        round(now - owner.reported_at, 4) if owner and has_report else None,
+    )
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -202,6 +202,7 @@
             'key',
             'upstream',
             'sends',
+            'shortage',
         ),
         'The host answered a request in place of an upstream.',
     )
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import asdict
 from typing import Protocol
 
 from oriolearch.adapters.caller_links import IncomingRequest, Reply
@@ -21,7 +22,7 @@
     RoutePlan,
     UpstreamEntry,
 )
-from oriolearch.core.dispatching import Dispatcher, QueuedRequest
+from oriolearch.core.dispatching import Dispatcher, QueuedRequest, Shortage
 from oriolearch.core.keyranges import OwnerMap
 from oriolearch.core.lapses import LapsedLeases
 from oriolearch.core.retries import Budget
@@ -107,6 +108,7 @@
     :ivar possible_runs: attempts in which an upstream may have run it.
     :ivar possible_arrivals: attempts that may have reached an upstream.
     :ivar is_expired: its deadline passed and an upstream may have run it.
+    :ivar shortage: what the refusal of the last reservation was based on.
     :ivar tried: upstreams of earlier attempts, avoided by a retry.
     :ivar carriers: connections of earlier attempts, not used by a retry.
     """
@@ -128,6 +130,7 @@
         self.possible_runs = 0
         self.possible_arrivals = 0
         self.last_failure = ''
+        self.shortage: Shortage | None = None
         self.is_expired = False
         self.config_version = 0
         self.assigned_at = 0.0
@@ -360,6 +363,7 @@
             key=head.key,
             upstream=job.owner.text() if job and job.owner else None,
             sends=job.possible_runs if job else 0,
+            shortage=asdict(job.shortage) if job and job.shortage else None,
         )
         self.latencies.record('', str(refusal.status), took_s)
 
@@ -463,6 +467,7 @@
             except QueuedOwnerMovedError:
                 continue
             except NoCapacityError as refusal:
+                job.shortage = refusal.shortage
                 raise self._make_refusal(
                     job,
                     'no-room',
--- a/src/oriolearch/placing.py
+++ b/src/oriolearch/placing.py
@@ -9,13 +9,18 @@
 import itertools
 import zlib
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import astuple, dataclass, field, fields
 from enum import StrEnum
 
 from oriolearch.adapters.host_links import HostLink, Message, connect
 from oriolearch.clock import loop_clock
 from oriolearch.core.directory import Incarnation, parse_incarnation
-from oriolearch.core.dispatching import Dispatcher, QueuedRequest, UpstreamState
+from oriolearch.core.dispatching import (
+    Dispatcher,
+    QueuedRequest,
+    Shortage,
+    UpstreamState,
+)
 from oriolearch.core.errors import OriolearchError, PeerError
 
 # A dispatching host with pending requests that sends nothing for this long is
@@ -34,11 +39,15 @@
     """No upstream has capacity before the deadline of the request.
 
     :param after_s: delay after which a retry may succeed, in seconds.
+    :param shortage: what the refusal was based on, if known.
     """
 
-    def __init__(self, after_s: float) -> None:
+    def __init__(
+        self, after_s: float, shortage: Shortage | None = None
+    ) -> None:
         super().__init__(f'no capacity; retry after {after_s} s')
         self.after_s = after_s
+        self.shortage = shortage
 
 
 class QueuedOwnerMovedError(OriolearchError):
@@ -232,9 +241,7 @@
     def _on_decided(self, number: int, request: QueuedRequest) -> None:
         if request.assigned_to is None:
             self.requests.pop(number, None)
-            self.link.send(
-                {'kind': 'no', 'id': number, 'after': request.retry_after_s},
-            )
+            self.link.send(encode_refusal(number, request))
             return
         ref = request.assigned_to.entry.ref.text()
         self.link.send({'kind': 'go', 'id': number, 'upstream': ref})
@@ -360,8 +367,7 @@
         is_pending = future is not None and not future.done()
         if message['kind'] == 'no':
             if future is not None and is_pending:
-                after_s = float(message['after'])
-                future.set_exception(NoCapacityError(after_s))
+                future.set_exception(decode_refusal(message))
             return
         if future is None or not is_pending:
             return
@@ -536,7 +542,9 @@
         if future.done():
             self.local_dispatch.withdraw(pool, request)
         elif request.assigned_to is None:
-            future.set_exception(NoCapacityError(request.retry_after_s or 0))
+            future.set_exception(
+                NoCapacityError(request.retry_after_s or 0, request.shortage)
+            )
         else:
             reservation = Reservation(
                 request.assigned_to.entry.ref,
@@ -585,6 +593,26 @@
     )
 
 
+def encode_refusal(number: int, request: QueuedRequest) -> Message:
+    """Encode the refusal of a reservation."""
+    shortage = request.shortage
+    return {
+        'kind': 'no',
+        'id': number,
+        'after': request.retry_after_s,
+        'shortage': list(astuple(shortage)) if shortage else None,
+    }
+
+
+def decode_refusal(message: Message) -> NoCapacityError:
+    """Decode the refusal of a reservation."""
+    facts = message.get('shortage') or ()
+    is_known = len(facts) == len(fields(Shortage))
+    return NoCapacityError(
+        float(message['after']), Shortage(*facts) if is_known else None
+    )
+
+
 def encode_release(number: int, result: AttemptResult) -> Message:
     """Encode the release of a reservation."""
     return {
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -165,6 +165,24 @@
     assert later.retry_after_s > soon.retry_after_s
 
 
+def test_refusal_states_what_it_is_based_on() -> None:
+    """Fails if an operator cannot tell a hot key from a slow upstream."""
+    dispatcher = make_dispatcher(entry(A))
+    fill(dispatcher)
+    dispatcher.record_load(0.1, dispatcher.upstreams[A], 7)
+    for _ in range(5):
+        dispatcher.submit(0.2, make_request(objective_at=9.0, deadline=9.0))
+    refused = make_request(deadline=0.4, objective_at=0.3)
+    dispatcher.submit(0.2, refused)
+    shortage = refused.shortage
+    assert shortage is not None
+    assert shortage.usable == 1
+    assert shortage.running == SLOTS + 1
+    assert shortage.reported_load == 7
+    assert shortage.report_age_s == pytest.approx(0.1)
+    assert 0.2 + shortage.soonest_s > refused.deadline
+
+
 def test_silent_upstream_gets_nothing_new() -> None:
     """Fails if requests pile up at an upstream that stopped answering.
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -6,8 +6,15 @@
 import pytest
 
 from oriolearch import placing
+from oriolearch.adapters.host_links import decode_line, encode_line
 from oriolearch.core.directory import Incarnation
-from oriolearch.placing import LocalDispatch, ReservationRouter
+from oriolearch.core.dispatching import QueuedRequest, Shortage
+from oriolearch.placing import (
+    LocalDispatch,
+    ReservationRouter,
+    decode_refusal,
+    encode_refusal,
+)
 
 OWNERS = [Incarnation(f'i-{number}', 1) for number in range(60)]
 
@@ -79,3 +86,31 @@
     )
     assert len(counts) == len(hosts)
     assert max(counts.values()) < 2 * len(owners) / len(hosts)
+
+
+@pytest.mark.parametrize(
+    'shortage',
+    [
+        None,
+        Shortage(0),
+        Shortage(1, 4, 0.25, 3, 6, 0.12),
+    ],
+)
+def test_reason_of_a_refusal_reaches_the_other_host(
+    shortage: Shortage | None,
+) -> None:
+    """Guard against refusals whose reasons only another host's log tells."""
+    request = QueuedRequest('z1', 1, 1.0, 2.0)
+    request.retry_after_s = 0.5
+    request.shortage = shortage
+    message = decode_line(encode_line(encode_refusal(3, request)))
+    refusal = decode_refusal(message)
+    assert message['id'] == 3
+    assert refusal.after_s == pytest.approx(0.5)
+    assert refusal.shortage == shortage
+
+
+def test_refusal_of_another_version_has_no_reason() -> None:
+    """Guard against a connection that ends on hosts of two versions."""
+    refusal = decode_refusal({'after': 0.5, 'shortage': [1, 2]})
+    assert refusal.shortage is None
