Log when the leases of a pool are found to have lapsed

Refusals named the reason, but the change of belief behind them had no line. Event 441 tells the pool and the upstream whose refusal showed it, once.

Test: test_lapse_is_found_once.

--- a/src/oriolearch/core/lapses.py
+++ b/src/oriolearch/core/lapses.py
@@ -36,11 +36,16 @@
     def __init__(self) -> None:
         self.refusals: dict[str, _Refusals] = {}
 
-    def record_refusal(self, now: float, pool: str, owner: Incarnation) -> None:
-        """Record that the known owner of a key does not own it."""
+    def record_refusal(self, now: float, pool: str, owner: Incarnation) -> bool:
+        """Record that the known owner of a key does not own it.
+
+        :returns: whether this shows that the leases of the pool have lapsed.
+        """
         refusals = self.refusals.setdefault(pool, _Refusals(now))
+        was_known = len(refusals.owners) >= MIN_REFUSING_OWNERS
         refusals.owners.add(owner)
         refusals.next_trial_at = now + TRIAL_PERIOD_S
+        return not was_known and len(refusals.owners) >= MIN_REFUSING_OWNERS
 
     def record_run(self, pool: str) -> None:
         """Record that an upstream ran a request for one of its keys."""
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -312,6 +312,13 @@
         ('upstream', 'cold_for_s'),
         'A probe in an outage of the store found an upstream cold.',
     )
+    LEASES_LAPSED = EventKind(
+        441,
+        logging.WARNING,
+        ('pool', 'upstream'),
+        'Three upstreams refused keys of their own while no coordinator was '
+        'heard; requests of the pool are refused.',
+    )
     PREDECESSOR_OVER = EventKind(
         440,
         logging.INFO,
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -647,8 +647,10 @@
         return reply, _make_result(kind, latency_s, facts)
 
     def _record_lapse(self, pool: str, owner: Incarnation) -> None:
-        if not self.hears_coordinator():
-            self.lapsed_leases.record_refusal(loop_clock(), pool, owner)
+        if self.hears_coordinator():
+            return
+        if self.lapsed_leases.record_refusal(loop_clock(), pool, owner):
+            self.log.emit(Event.LEASES_LAPSED, pool=pool, upstream=owner.text())
 
     def _record_cold(self, ref: Incarnation, cold_for_s: float) -> None:
         self.registry.record_cold(loop_clock(), ref, cold_for_s)
--- a/tests/test_lapses.py
+++ b/tests/test_lapses.py
@@ -47,6 +47,15 @@
     assert leases.find_retry_after(1.1, 'other') is None
 
 
+def test_lapse_is_found_once() -> None:
+    """Guard against a log line for each further refusal."""
+    leases = LapsedLeases()
+    found = [
+        leases.record_refusal(1.0, POOL, owner) for owner in OWNERS + OWNERS
+    ]
+    assert found == [number == 2 for number in range(len(found))]
+
+
 def test_load_during_an_outage_that_loses_the_coordinator() -> None:
     """Guard against sends to upstreams that hold no key any more.
 
