--- a/src/oriolearch/explaining.py
+++ b/src/oriolearch/explaining.py
@@ -17,6 +17,7 @@
         'directory_applied',
         'host_started',
         'host_stopping',
+        'leases_lapsed',
         'predecessor_over',
         'settings_read',
         'stepped_down',
@@ -26,7 +27,9 @@
         'zones_out',
     ),
 )
-UPSTREAM_EVENTS = frozenset(('grant_failed', 'keys_moved', 'upstream_changed'))
+UPSTREAM_EVENTS = frozenset(
+    ('cold_probed', 'grant_failed', 'keys_moved', 'upstream_changed')
+)
 _HEADER_FIELDS = frozenset(('event', 'level', 'message', 'number', 'time'))
 
 
