Divide the keys of a new pool once its upstreams have registered

Ruled out: balancing by number of keys without requests. After a loss of all power the stored ranges follow the load, and the first plans, without counts, would undo them.

Change: a pool without stored owners opens once its upstreams have not changed for a second, at the latest after five, and at once with requests.

--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -40,6 +40,7 @@
     PlatformRefusedError,
 )
 from oriolearch.core.keyranges import OwnedRange
+from oriolearch.core.opening import PoolOpening
 from oriolearch.core.ownership import (
     CALL_TIMEOUT_S,
     CLOCK_MARGIN_S,
@@ -140,6 +141,7 @@
         self.is_storing_witnesses = False
         self.predecessor_end_at = self.began_at + LONG_AUTHORITY_S
         self.pools: dict[str, KeyOwnership] = {}
+        self.openings: dict[str, PoolOpening] = {}
         self.pool_versions: dict[str, int] = {}
         self.stored_rows: dict[str, StoredRow] = {}
         self.members = Members(
@@ -391,7 +393,9 @@
         ranges = read_ranges(stored, self.log) if stored else []
         if not ranges:
             usable = sorted(self.registry.usable_upstreams(pool))
-            if not usable:
+            opening = self.openings.setdefault(pool, PoolOpening())
+            has_requests = bool(self.rates.get(pool))
+            if not opening.is_due(now, usable, has_requests=has_requests):
                 return None
             ranges = make_even_ranges(usable)
         unknown_until = self.predecessor_end_at + _MAX_GRANT_S
