Complete moves of keys before a planned handover

The successor read the previous owner in the row and waited for the end of that owner's last lease, so the range had no owner for 2.7 s and each request for it was refused after 0.8 s. The same follows the stop of a coordinator, and a move that was complete stayed in the row for another second.

Ruled out: a late or lost message between hosts, and too short an OWNER_WAIT_S (the keys had no owner for longer than any request waits).

Change: a coordinator that stops, or asks a larger host to take over, plans no more moves and first lets the open ones complete and be stored, for a second at most. The row names the previous owner for 0.4 s after a move in place of 1 s, and that removal no longer delays a more urgent write.

Two tests with moves all the time failed before and pass now.

The orders now go to a host that is not killed.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -904,6 +904,9 @@
         leadership = self.leadership
         if leadership is None:
             return
+        while not leadership.is_ready_for_handover(lease_clock()):
+            leadership.prepare_handover(lease_clock())
+            await asyncio.sleep(START_POLL_S)
         leadership.mark_leaving()
         while self.leadership is leadership:
             if self.row is None or not self.row.is_leaving:
--- a/src/oriolearch/core/ownership.py
+++ b/src/oriolearch/core/ownership.py
@@ -39,8 +39,11 @@
 EXPECTED_MOVE_S = 0.2  # usual duration of a release and a grant
 PROBE_PERIOD_S = 0.25  # between probes of an unresponsive upstream
 LOST_AFTER_S = 0.8  # an unresponsive upstream loses its keys after this
-# The row names the previous owner for this long after a move has completed.
-MOVE_RECORD_RETENTION_S = 1.0
+# The row names the previous owner for this long after a move has completed, so
+# that one write covers the moves of a plan, or the next plan's as well. A
+# successor that reads the row meanwhile leaves the keys without an owner for
+# the length of a lease.
+MOVE_RECORD_RETENTION_S = 0.4
 
 
 @dataclass(slots=True, eq=False)
@@ -180,6 +183,7 @@
         self.call_count = 0
         self.revision = 1
         self.stored_revision = 0
+        self.storing_revision = 0
         self.is_store_pending = False
         self.is_outcome_unknown = False
         self.store_started_at = 0.0
@@ -288,6 +292,7 @@
             and now >= self.store_after
         ):
             self.is_store_pending = True
+            self.storing_revision = self.revision
             self.store_started_at = now
             effects.append(Store(self.revision, tuple(self.ranges)))
         effects.extend(self._due_probes(now))
@@ -330,6 +335,7 @@
             may do so later.
         """
         self.is_store_pending = False
+        self.storing_revision = 0
         self.is_outcome_unknown = self.is_outcome_unknown or is_outcome_unknown
         self.store_after = now + RETRY_S
 
@@ -348,10 +354,8 @@
         keys.is_held = True
         keys.transfer_token = None
         if keys.previous is not None:
-            # Removing the previous owner from the row is not urgent.
             keys.previous = None
-            self.revision += 1
-            self.store_after = now + MOVE_RECORD_RETENTION_S
+            self._require_record_removal(now)
         self.pending_changes.append(
             OwnedRange(keys.first, keys.last, keys.owner)
         )
@@ -417,6 +421,13 @@
         since = self.unresponsive_since.get(upstream)
         return since is not None and now - since > LOST_AFTER_S
 
+    def has_open_moves(self) -> bool:
+        """Return whether the stored row names a move, or will name one."""
+        return self.stored_revision < self.revision or any(
+            keys.planned is not None or keys.previous is not None
+            for keys in self.ranges
+        )
+
     def pop_changes(self) -> list[OwnedRange]:
         """Return the changes of ownership since the last call."""
         changes = self.pending_changes
@@ -439,6 +450,15 @@
             expected_at = max(expected_at, keys.free_at)
         return OwnedRange(keys.first, keys.last, None, expected_at)
 
+    def _require_record_removal(self, now: float) -> None:
+        """Require a write that no longer names the previous owner of a range.
+
+        It is not urgent, and does not delay a write that is.
+        """
+        if self.revision == max(self.stored_revision, self.storing_revision):
+            self.store_after = now + MOVE_RECORD_RETENTION_S
+        self.revision += 1
+
     def _require_store(self, now: float, keys: KeyRange) -> None:
         """Require a write to the store before calls for a moved range."""
         self.revision += 1
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -74,6 +74,9 @@
 HEARTBEAT_PERIOD_S = 0.25  # from the coordinator to each host
 HOSTS_PERIOD_S = 0.2  # batches the changes when many hosts start
 YIELD_PERIOD_S = 2.0  # between requests that a larger host takes over
+# Open moves get this long to complete before a successor is asked for. One
+# takes a release, a grant and two writes to the store.
+HANDOVER_SETTLE_S = 1.0
 # A host with this multiple of the coordinator's capacity should replace it.
 YIELD_CAPACITY_RATIO = 2.0
 WITNESS_DELAY_S = 0.5  # most hosts have connected by then
@@ -149,6 +152,8 @@
         )
         self.rates: dict[str, dict[int, float]] = {}
         self.service_times: dict[str, dict[str, float]] = {}
+        self.handover_began_at: float | None = None
+        self.has_asked_larger_host = False
         self.is_over = False
         self.failing_since: float | None = None
 
@@ -157,6 +162,11 @@
         """Return whether the coordinator's host is shutting down."""
         return self.members.is_own_host_leaving
 
+    @property
+    def is_handing_over(self) -> bool:
+        """Return whether another host is about to take over."""
+        return self.is_leaving or self.handover_began_at is not None
+
     def mark_leaving(self) -> None:
         """Record that the coordinator's host is shutting down.
 
@@ -165,6 +175,26 @@
         """
         self.members.is_own_host_leaving = True
 
+    def prepare_handover(self, now: float) -> None:
+        """Complete the moves of keys and plan no more for balance.
+
+        A successor that reads of a move has to wait for the end of the
+        previous owner's last lease, so the keys would have no owner meanwhile.
+        """
+        if self.handover_began_at is None:
+            self.handover_began_at = now
+
+    def is_ready_for_handover(self, now: float) -> bool:
+        """Return whether moves are complete, or waiting longer is no use."""
+        began_at = self.handover_began_at
+        if began_at is None:
+            return False
+        if self.is_over or now >= began_at + HANDOVER_SETTLE_S:
+            return True
+        return not any(
+            ownership.has_open_moves() for ownership in self.pools.values()
+        )
+
     def has_authority(self) -> bool:
         """Return whether grants may be sent now."""
         return not self.is_over and lease_clock() < self.authority.ends_at()
@@ -196,9 +226,8 @@
                 hosts_at = now + HOSTS_PERIOD_S
                 self.members.send_hosts()
                 self._refresh_witnesses()
-            if now >= yield_at:
+            if now >= yield_at and self._yield_to_larger(now):
                 yield_at = now + YIELD_PERIOD_S
-                self._yield_to_larger()
             self._step(now)
             self._publish_changes()
             await asyncio.sleep(STEP_PERIOD_S)
@@ -261,18 +290,37 @@
             {'kind': 'acknowledge', 'term': self.row.term, 'at': now},
         )
 
-    def _yield_to_larger(self) -> None:
-        """Ask a much larger host to take over.
+    def _yield_to_larger(self, now: float) -> bool:
+        """Ask a much larger host to take over, once moves are complete.
 
         The coordinator renews the leases of all upstreams and sends each
         change to all hosts, which saturates the network link of a small host.
+
+        :returns: whether there is nothing left to do for this period.
         """
+        largest = self._find_larger()
+        if self.is_leaving:
+            return True
+        if largest is None or self.has_asked_larger_host:
+            # Either no host is larger, or it could not take over.
+            self.has_asked_larger_host = False
+            self.handover_began_at = None
+            return True
+        self.prepare_handover(now)
+        if not self.is_ready_for_handover(now):
+            return False
+        largest.send({'kind': 'yield', 'term': self.row.term})
+        self.has_asked_larger_host = True
+        return True
+
+    def _find_larger(self) -> HostLink | None:
+        """Return the connection of a host that should coordinate instead."""
         largest = self.members.largest()
-        if largest is None or self.is_leaving:
-            return
+        if largest is None:
+            return None
         min_capacity = YIELD_CAPACITY_RATIO * self.members.own_member.capacity
-        if self.members.links[largest].capacity >= min_capacity:
-            largest.send({'kind': 'yield', 'term': self.row.term})
+        is_larger = self.members.links[largest].capacity >= min_capacity
+        return largest if is_larger else None
 
     def _refresh_witnesses(self) -> None:
         """Replace lost witnesses, once hosts have had time to connect."""
@@ -440,7 +488,7 @@
     def _balance(self, now: float) -> None:
         factor = 0.5 ** (BALANCE_PERIOD_S / RATE_HALF_LIFE_S)
         for pool, ownership in self.pools.items():
-            if self.failing_since is not None or self.is_leaving:
+            if self.failing_since is not None or self.is_handing_over:
                 continue
             rates = self.rates.get(pool, {})
             for key in list(rates):
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 import socket
+from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
 from typing import Any
@@ -20,6 +21,7 @@
 from oriolearch.core.directory import Incarnation
 from oriolearch.core.errors import ValidationError
 from oriolearch.core.witnesses import SHORT_AUTHORITY_S
+from oriolearch.leadership import Leadership
 from oriolearch.platform.daemon import HostDaemon
 from oriolearch.platform.settings import load_settings, read_settings
 from tests.platform_standin import (
@@ -319,6 +321,96 @@
     run_scenario(scenario)
 
 
+def add_load_to_one_owner(leadership: Leadership) -> None:
+    """Count requests so that the next plan moves keys between upstreams."""
+    ownership = leadership.pools['orders']
+    owners = Counter(ownership.find(key).owner for key in KEYS)
+    busiest, _ = owners.most_common(1)[0]
+    leadership.count_keys(
+        'orders',
+        {key: 9 for key in KEYS if ownership.find(key).owner == busiest},
+    )
+
+
+async def send_until(
+    installation: Installation, is_over: Callable[[], bool]
+) -> Counter[int]:
+    """Send orders and have keys moved until the condition holds."""
+    statuses: Counter[int] = Counter()
+    async with asyncio.timeout(12):
+        while not is_over():
+            leaders = [host.coordination for host in installation.hosts]
+            for coordination in leaders:
+                if coordination.leadership is not None:
+                    add_load_to_one_owner(coordination.leadership)
+            # Concurrently, as a key without an owner delays its own order only.
+            answers = await asyncio.gather(
+                *(installation.send_order(key) for key in KEYS),
+            )
+            statuses.update(answer.status for answer in answers)
+            await asyncio.sleep(0.02)
+    return statuses
+
+
+def test_moves_are_complete_when_a_larger_host_takes_over() -> None:
+    """Guard against keys without an owner after a planned takeover.
+
+    The load pattern is one that moves keys all the time. A successor that read
+    of a move waited for the end of the previous owner's last lease, so that
+    the keys, busy ones, had no owner for 2.7 s.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        for host in list(installation.hosts):
+            installation.kill(host)
+        small = await installation.add_small_host('small')
+        await installation.wait_until_all_served()
+        large = await installation.add_host('large')
+        statuses = await send_until(
+            installation, lambda: large.coordination.leadership is not None
+        )
+        ends_at = asyncio.get_running_loop().time() + 1.5
+        statuses += await send_until(
+            installation,
+            lambda: asyncio.get_running_loop().time() >= ends_at,
+        )
+        assert small.coordination.leadership is None
+        assert set(statuses) == {200}, statuses
+
+    run_scenario(scenario)
+
+
+def test_moves_are_complete_when_a_coordinator_has_stopped() -> None:
+    """Guard against keys without an owner after the stop of a coordinator."""
+
+    async def scenario(installation: Installation) -> None:
+        coordinator = coordinator_host(installation)
+        other = next(
+            host for host in installation.hosts if host is not coordinator
+        )
+        # Orders go to the first host of the list.
+        installation.hosts.remove(other)
+        installation.hosts.insert(0, other)
+        moving_until = asyncio.get_running_loop().time() + 0.7
+        await send_until(
+            installation,
+            lambda: asyncio.get_running_loop().time() >= moving_until,
+        )
+        stopping = asyncio.create_task(coordinator.stop())
+        statuses = await send_until(
+            installation, lambda: other.coordination.leadership is not None
+        )
+        ends_at = asyncio.get_running_loop().time() + 1.5
+        statuses += await send_until(
+            installation,
+            lambda: asyncio.get_running_loop().time() >= ends_at,
+        )
+        assert set(statuses) == {200}, statuses
+        await stopping
+
+    run_scenario(scenario, hosts=2)
+
+
 async def drain_first_server(
     installation: Installation, settle_s: float
 ) -> None:
@@ -726,6 +818,10 @@
 
     async def scenario(installation: Installation) -> None:
         await asyncio.sleep(1.0)
+        # The disturbance is for the coordinator, the orders go to another host.
+        installation.hosts.sort(
+            key=lambda host: host.coordination.leadership is None
+        )
         last = installation.hosts[-1]
         entry = last.settings.entry
         disturbing = asyncio.create_task(disturb(installation))
