Do not count the lost coordinator among unreachable peers

A host that cannot reach most of its peers waits eight seconds before it takes over. In an installation of two hosts the only peer is the coordinator itself: when its host lost power, nobody renewed leases for 8 s.

The answer of the coordinator still counts when it hears of itself.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -33,7 +33,7 @@
 from oriolearch.forwarding import Forwarder
 from oriolearch.granting import GrantPort
 from oriolearch.leadership import Leadership
-from oriolearch.members import Member, choose_peers
+from oriolearch.members import Member, choose_peers, is_isolated
 from oriolearch.placing import DispatchServer
 from oriolearch.ports import (
     LONG_POLL_GRACE_S,
@@ -396,15 +396,13 @@
         if 0 < self.failed_connects < MIN_FAILED_CONNECTS:
             await asyncio.sleep(STORE_RETRY_S)
             return
-        answers = await asyncio.gather(
-            *(self._ask_peer(peer, row.term) for peer in self.peers),
+        peers = tuple(self.peers)
+        hears = await asyncio.gather(
+            *(self._ask_peer(peer, row.term) for peer in peers),
         )
-        unreachable = sum(1 for answer in answers if answer is None)
-        is_isolated = 2 * unreachable > len(answers)
-        contact_lost_s = lease_clock() - self.contact_lost_at
-        if any(answers) or (
-            is_isolated and contact_lost_s < ISOLATED_TAKEOVER_S
-        ):
+        answers = dict(zip(peers, hears, strict=True))
+        is_early = lease_clock() - self.contact_lost_at < ISOLATED_TAKEOVER_S
+        if any(hears) or (is_early and is_isolated(answers, row.address)):
             await asyncio.sleep(STORE_RETRY_S)
             await self._read_owners()
             return
--- a/src/oriolearch/members.py
+++ b/src/oriolearch/members.py
@@ -1,7 +1,7 @@
 """The hosts connected to a coordinator, and their duties for it."""
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from oriolearch.adapters.host_links import HostLink, Message, encode_line
@@ -42,6 +42,17 @@
     return rng.sample(others, min(len(others), MAX_PEERS_ASKED))
 
 
+def is_isolated(answers: Mapping[str, bool | None], coordinator: str) -> bool:
+    """Return whether a host can reach less than half of its peers.
+
+    :param answers: of the peers by address, ``None`` where there is none.
+    :param coordinator: address of the lost coordinator. That it does not
+        answer says nothing about the other peers.
+    """
+    others = [answer for peer, answer in answers.items() if peer != coordinator]
+    return 2 * others.count(None) > len(others)
+
+
 class Members:
     """Connections of hosts to the coordinator.
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -12,6 +12,7 @@
     Member,
     Members,
     choose_peers,
+    is_isolated,
 )
 
 OWN = Member('h0:1', 'z1', 1.0, 'r0')
@@ -134,3 +135,26 @@
         isolated += 2 * cut_off > len(peers)
     assert isolated < 50
     assert choose_peers(['a0:1'], 'a0:1', random.Random(1)) == []
+
+
+@pytest.mark.parametrize(
+    ('answers', 'expected'),
+    [
+        ({}, False),
+        ({'c:1': None}, False),
+        ({'c:1': None, 'h1:1': False}, False),
+        ({'c:1': None, 'h1:1': None}, True),
+        ({'c:1': False, 'h1:1': None}, True),
+        ({'c:1': None, 'h1:1': None, 'h2:1': False}, False),
+        ({'c:1': False, 'h1:1': None, 'h2:1': None, 'h3:1': False}, True),
+    ],
+)
+def test_lost_coordinator_does_not_make_a_host_isolated(
+    answers: dict[str, bool | None], expected: bool
+) -> None:
+    """Guard against a late takeover in an installation of two hosts.
+
+    The coordinator's host lost power. It was the only peer of the other one,
+    which took itself to be cut off and waited for eight seconds.
+    """
+    assert is_isolated(answers, 'c:1') is expected
