--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(BIN)/pip install -q --no-deps --no-build-isolation -e .
 	touch $@
 
-.PHONY: install demo serve test lint format soak faultsoak bench bench-datapath bench-policy bench-zones capacity proto
+.PHONY: install demo serve test lint format soak faultsoak bench bench-datapath bench-policy bench-zones capacity proto plot
 install: $(STAMP)
 
 demo: $(STAMP)
@@ -57,4 +57,9 @@
 faultsoak: $(STAMP)
 	$(BIN)/python -m tests.faultsoak --seeds $(SEEDS) --jobs 2
 
+DAY ?= day.json
+OUT ?= day.svg
+plot: $(STAMP)
+	$(BIN)/python -m bench.plot $(DAY) $(OUT)
+
 bench: bench-policy bench-datapath bench-zones
