Bound the work of a dispatching host with a long queue

Each completion sorted the queue and evaluated all upstreams for each queued request: iterations of its event loop took up to 441 ms, 417 ms of them in messages about reservations (trial with long iterations printed).

Ruled out: plans of moves, refreshes of upstreams and sends to hosts (none took 15 ms, trial with slow steps printed); calls of grants (0.1 ms each, 0.4 ms with a new connection).

Change: a completion assigns the freed upstream to the first request for it. Requests that can no longer be answered in time are refused in the periodic check, each 30 ms, which evaluates the upstreams once.

--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -175,6 +175,20 @@
         return self.service_time_s * (1 + ahead / self.entry.slots)
 
 
+@dataclass(frozen=True, slots=True)
+class _Outlook:
+    """When the upstreams that could serve a request are expected to do so.
+
+    :param usable: those that are usable and not silent.
+    :param rate: answers per second of all of them.
+    :param soonest_s: seconds until the first answer to a new request.
+    """
+
+    usable: tuple[UpstreamState, ...]
+    rate: float = 0.0
+    soonest_s: float = 0.0
+
+
 class Dispatcher:
     """Assigns the requests of one pool to its upstreams.
 
@@ -264,6 +278,7 @@
             now,
             request,
             self._count_ahead(now, request),
+            self._find_outlook(now, request.owner),
         )
         if request.retry_after_s is None:
             self.waiting.append(request)
@@ -280,16 +295,22 @@
         """
         decided = []
         ahead: dict[Incarnation | None, int] = {}
+        outlooks: dict[Incarnation | None, _Outlook] = {}
         for request in self._ranked_queue(now):
             upstream = None
             if request.owner not in ahead or request.tried:
                 upstream = self._choose(now, request)
             if upstream is not None:
                 self._assign(now, request, upstream)
+                outlooks.pop(request.owner, None)
             else:
                 position = ahead.get(request.owner, 0)
+                outlook = outlooks.get(request.owner)
+                if outlook is None:
+                    outlook = self._find_outlook(now, request.owner)
+                    outlooks[request.owner] = outlook
                 request.retry_after_s = self._find_retry_after(
-                    now, request, position
+                    now, request, position, outlook
                 )
                 if request.retry_after_s is None:
                     ahead[request.owner] = position + 1
@@ -298,6 +319,38 @@
             decided.append(request)
         return decided
 
+    def assign_freed(
+        self, now: float, upstream: UpstreamState
+    ) -> list[QueuedRequest]:
+        """Assign queued requests to an upstream that a request has left.
+
+        Requests that can no longer be answered in time are refused by the
+        next :meth:`assign_queued`, whose cost grows with the whole queue.
+        """
+        assigned = []
+        while self.waiting and upstream.free_capacity(now) > 0:
+            request = self._first_for(now, upstream.entry.ref)
+            chosen = self._choose(now, request) if request else None
+            if request is None or chosen is None:
+                break
+            self._assign(now, request, chosen)
+            self.waiting.remove(request)
+            assigned.append(request)
+        return assigned
+
+    def _first_for(self, now: float, ref: Incarnation) -> QueuedRequest | None:
+        """Return the queued request that is to get an upstream first."""
+        return min(
+            (
+                request
+                for request in self.waiting
+                if request.owner == ref
+                or (request.owner is None and ref not in request.tried)
+            ),
+            key=lambda request: self._rank(now, request),
+            default=None,
+        )
+
     def _ranked_queue(self, now: float) -> list[QueuedRequest]:
         return sorted(
             self.waiting, key=lambda request: self._rank(now, request)
@@ -482,11 +535,31 @@
             if other.owner == request.owner and self._rank(now, other) <= rank
         )
 
+    def _find_outlook(self, now: float, owner: Incarnation | None) -> _Outlook:
+        """Return the outlook of requests with an owner, or without one."""
+        usable = tuple(
+            upstream
+            for upstream in self._candidates(owner)
+            if upstream.is_usable and not upstream.is_silent(now)
+        )
+        if not usable:
+            return _Outlook(usable)
+        soonest_s = min(
+            max(
+                upstream.expected_wait_s(now),
+                upstream.paused_until - now + upstream.service_time_s,
+            )
+            for upstream in usable
+        )
+        rate = sum(self._service_rate(now, upstream) for upstream in usable)
+        return _Outlook(usable, rate, soonest_s)
+
     def _find_retry_after(
         self,
         now: float,
         request: QueuedRequest,
         ahead: int,
+        outlook: _Outlook,
     ) -> float | None:
         """Return after how many seconds to retry if waiting is pointless.
 
@@ -494,27 +567,14 @@
 
         :param ahead: number of queued requests that are served before it.
         """
-        upstreams = self._candidates(request)
-        usable = [
-            upstream
-            for upstream in upstreams
-            if upstream.is_usable and not upstream.is_silent(now)
-        ]
-        if not usable:
+        if not outlook.usable:
             request.shortage = Shortage(0, ahead)
             return UNAVAILABLE_RETRY_AFTER_S
-        rate = sum(self._service_rate(now, upstream) for upstream in usable)
-        soonest_s = min(
-            max(
-                upstream.expected_wait_s(now),
-                upstream.paused_until - now + upstream.service_time_s,
-            )
-            for upstream in usable
-        )
-        late_s = now + soonest_s + ahead / rate - request.deadline
+        answer_at = now + outlook.soonest_s + ahead / outlook.rate
+        late_s = answer_at - request.deadline
         if late_s <= 0:
             return None
-        request.shortage = _describe_shortage(now, usable, ahead, soonest_s)
+        request.shortage = _describe_shortage(now, outlook, ahead)
         return max(late_s, MIN_RETRY_AFTER_S)
 
     def _service_rate(self, now: float, upstream: UpstreamState) -> float:
@@ -546,26 +606,22 @@
         )
         return service_time_s * (1 + QUEUED_AT_UPSTREAM / 2)
 
-    def _candidates(self, request: QueuedRequest) -> list[UpstreamState]:
-        if request.owner is None:
+    def _candidates(self, owner: Incarnation | None) -> list[UpstreamState]:
+        if owner is None:
             return list(self.upstreams.values())
-        upstream = self.upstreams.get(request.owner)
+        upstream = self.upstreams.get(owner)
         return [upstream] if upstream else []
 
 
-def _describe_shortage(
-    now: float,
-    usable: list[UpstreamState],
-    ahead: int,
-    soonest_s: float,
-) -> Shortage:
+def _describe_shortage(now: float, outlook: _Outlook, ahead: int) -> Shortage:
+    usable = outlook.usable
     running = sum(len(upstream.running) for upstream in usable)
     owner = usable[0] if len(usable) == 1 else None
     has_report = owner is not None and owner.reported_at > float('-inf')
     return Shortage(
         len(usable),
         ahead,
-        round(soonest_s, 4),
+        round(outlook.soonest_s, 4),
         running,
         owner.reported_load if owner and has_report else None,
         round(now - owner.reported_at, 4) if owner and has_report else None,
--- a/src/oriolearch/placing.py
+++ b/src/oriolearch/placing.py
@@ -149,7 +149,7 @@
             return
         self._apply_result(dispatcher, upstream, result)
         dispatcher.release(request)
-        self._assign_queued(dispatcher)
+        self._report(dispatcher.assign_freed(loop_clock(), upstream))
 
     def assign_queued(self) -> None:
         """Assign queued requests of all pools where capacity permits."""
@@ -183,9 +183,11 @@
             dispatcher.record_failure(now, upstream, is_alive=result.is_alive)
 
     def _assign_queued(self, dispatcher: Dispatcher) -> None:
-        if not dispatcher.waiting:
-            return
-        for request in dispatcher.assign_queued(loop_clock()):
+        if dispatcher.waiting:
+            self._report(dispatcher.assign_queued(loop_clock()))
+
+    def _report(self, decided: Iterable[QueuedRequest]) -> None:
+        for request in decided:
             on_decided = self.decision_callbacks.pop(request, None)
             if on_decided is not None:
                 on_decided(request)
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from oriolearch.core import dispatching
 from oriolearch.core.directory import Incarnation, PoolPlan, UpstreamEntry
 from oriolearch.core.dispatching import (
     FAILURES_BEFORE_PAUSE,
@@ -488,3 +489,70 @@
     last = make_request(None)
     dispatcher.submit(0.1, last)
     assert bool(last.assigned_to) is is_alive
+
+
+class CountingState(UpstreamState):
+    """Counts the evaluations of upstreams."""
+
+    evaluations = 0
+
+    def expected_wait_s(self, now: float) -> float:
+        type(self).evaluations += 1
+        return super().expected_wait_s(now)
+
+
+@pytest.mark.parametrize('step', ['completion', 'check'])
+def test_cost_of_a_long_queue_is_bounded(
+    step: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against work that grows with queue times upstreams.
+
+    Load pattern: a burst on a plain pool of 52 upstreams while a zone is out,
+    with hundreds of queued requests at its dispatching host. Each completion
+    evaluated all upstreams for each queued request. The host, which was also
+    the coordinator, did nothing else for 0.4 s at a time; leases were not
+    renewed and lapsed (emrc-quito-grown trouble-1).
+    """
+    monkeypatch.setattr(dispatching, 'UpstreamState', CountingState)
+    entries = [entry(Incarnation(f'u{number}', 1)) for number in range(52)]
+    dispatcher = Dispatcher(plan(is_keyed=False), random.Random(1))
+    refs = [listed.ref for listed in entries]
+    dispatcher.set_upstreams(0.0, entries, refs, {})
+    running = [
+        make_request(None, deadline=9.0) for _ in range(CAPACITY * len(refs))
+    ]
+    queued = [make_request(None, deadline=9.0) for _ in range(400)]
+    for request in (*running, *queued):
+        dispatcher.submit(0.0, request)
+    assert len(dispatcher.waiting) == len(queued)
+    CountingState.evaluations = 0
+    if step == 'completion':
+        freed = running[0].assigned_to
+        assert freed is not None
+        dispatcher.release(running[0])
+        assert len(dispatcher.assign_freed(0.1, freed)) == 1
+    else:
+        assert not dispatcher.assign_queued(0.1)
+    assert CountingState.evaluations <= 2 * len(refs)
+
+
+def test_freed_upstream_serves_the_first_of_the_queue() -> None:
+    """Fails if a freed slot goes to a less urgent or an excluded request."""
+    dispatcher = make_dispatcher(entry(A), entry(B))
+    filled = [*fill(dispatcher, A), *fill(dispatcher, B)]
+    late, urgent, tried, other = (
+        make_request(None, priority=2),
+        make_request(A, priority=1),
+        make_request(None, priority=0),
+        make_request(B, priority=0),
+    )
+    tried.tried = frozenset((A,))
+    for request in (late, urgent, tried, other):
+        dispatcher.submit(0.0, request)
+    freed = filled[0].assigned_to
+    assert freed is not None
+    dispatcher.release(filled[0])
+    assert dispatcher.assign_freed(0.1, freed) == [urgent]
+    dispatcher.release(filled[1])
+    assert dispatcher.assign_freed(0.1, freed) == [late]
+    assert dispatcher.waiting == [tried, other]
