Take hosts that are cut off out of rotation; forward what only one host read

Cause of the first: in a cut of a zone its hosts reach neither the coordinator nor most other hosts.

Cause of the second: test_store_that_is_silent_for_the_hosts_that_follow_it failed after the pause between polls of the coordinator row. Hosts found the coordinator later and had opened long polls of the tables by then. Such a poll read the new configuration; when its host was chosen to follow the table, it had nothing new to forward. A host that starts to follow now forwards what the coordinator has not sent to it. The pause no longer delays finding the first coordinator.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -115,6 +115,8 @@
     :ivar host_count: number of hosts that dispatch requests, with this one.
     :ivar granting_contact_at: time of the last message of a coordinator that
         may grant and renew leases.
+    :ivar is_cut_off: whether neither the coordinator nor most of the other
+        hosts can be reached.
     :ivar open_takeovers: number of takeovers whose outcome is not known yet.
     """
 
@@ -159,6 +161,7 @@
         self.next_stuck_takeover_at = float('-inf')
         self.store_backoff_s = STORE_RETRY_S
         self.is_stopping = False
+        self.is_cut_off = False
         self.promise = Promise()
         self.open_takeovers = 0
         self.server: asyncio.Server | None = None
@@ -222,8 +225,9 @@
                 after = await self._poll_coordinator_table(
                     after, STORE_POLL_S, LONG_POLL_GRACE_S
                 )
-                # By then the host usually has contact with a coordinator.
-                await asyncio.sleep(FOLLOW_PAUSE_S)
+                if self.row is not None:
+                    # By then the host usually has contact with it.
+                    await asyncio.sleep(FOLLOW_PAUSE_S)
             except HistoryLostError:
                 after = None
             except PlatformError:
@@ -415,7 +419,8 @@
         )
         answers = dict(zip(peers, hears, strict=True))
         is_early = lease_clock() - self.contact_lost_at < ISOLATED_TAKEOVER_S
-        if any(hears) or (is_early and is_isolated(answers, row.address)):
+        self.is_cut_off = is_isolated(answers, row.address)
+        if any(hears) or (is_early and self.is_cut_off):
             await asyncio.sleep(STORE_RETRY_S)
             await self._read_owners()
             return
@@ -506,6 +511,7 @@
             )
         self.last_contact_at = lease_clock()
         self.last_contact_term = row.term
+        self.is_cut_off = False
         if message.get('grants', True):
             self.granting_contact_at = self.last_contact_at
             self.forwarder.lapsed_leases.clear()
@@ -540,7 +546,7 @@
             or self.relay.forward is discard_rows
         ):
             self.relay.set_relayed(False)
-            self.relay.forward = _forward_to(link)
+            self.relay.start_forwarding(_forward_to(link))
 
     def _acknowledge(self, link: HostLink, message: Message) -> None:
         """Acknowledge the coordinator as one of its witnesses."""
@@ -816,6 +822,7 @@
             leadership.limit_predecessor(leadership.began_at)
         self.spawn(Succession(leadership, predecessor, self.log).run())
         self.leadership = leadership
+        self.is_cut_off = False
         self.forwarder.lapsed_leases.clear()
         self.relay.set_relayed(False)
         self.relay.forward = leadership.members.send_rows
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -176,7 +176,8 @@
         registry = self.registry
         if self.is_stopping or registry.directory is None:
             return False
-        return registry.is_read
+        # Callers of a zone that is cut off are served in other zones.
+        return registry.is_read and not self.coordination.is_cut_off
 
     async def _tick(self) -> None:
         loop = asyncio.get_running_loop()
--- a/src/oriolearch/relaying.py
+++ b/src/oriolearch/relaying.py
@@ -91,6 +91,8 @@
     :ivar forward: sends changed rows to other hosts.
     :ivar is_primary: whether the other hosts rely on this one, the
         coordinator, to read changes first.
+    :ivar received_versions: version of each table up to which other hosts have
+        sent changes, and have them themselves.
     :ivar must_poll: set while this host has to poll the store, since no other
         host sends it all changes.
     """
@@ -99,6 +101,7 @@
         self.mirrors: dict[str, Mirror] = {}
         self.forward: Forward = discard_rows
         self.is_primary = False
+        self.received_versions: dict[str, int] = {}
         self.must_poll = asyncio.Event()
         self.must_poll.set()
 
@@ -131,10 +134,24 @@
         mirror = self.mirrors.get(table)
         if mirror is None:
             return
+        self.received_versions[table] = max(
+            self.received_versions.get(table, 0), version
+        )
         changed = mirror.apply(rows, version)
         if changed:
             self.forward(table, changed, mirror.version)
 
+    def start_forwarding(self, forward: Forward) -> None:
+        """Forward changes from now on, and those that only this host read.
+
+        A poll that was open when the host stopped to poll may have read them.
+        """
+        self.forward = forward
+        for table, mirror in self.mirrors.items():
+            rows = mirror.rows_since(self.received_versions.get(table, 0))
+            if rows:
+                forward(table, rows, mirror.version)
+
     def versions(self) -> dict[str, int]:
         """Return the version up to which each table is up to date."""
         return {table: mirror.version for table, mirror in self.mirrors.items()}
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -13,13 +13,14 @@
 
 import pytest
 
+from oriolearch.adapters.host_links import HostLink
 from oriolearch.adapters.upstream_links import (
     HttpResponse,
     LinkError,
     LinkPool,
 )
 from oriolearch.core.directory import Incarnation
-from oriolearch.core.errors import ValidationError
+from oriolearch.core.errors import PeerError, ValidationError
 from oriolearch.core.witnesses import SHORT_AUTHORITY_S
 from oriolearch.leadership import Leadership
 from oriolearch.platform.daemon import HostDaemon
@@ -995,6 +996,44 @@
     run_scenario(scenario, hosts=5)
 
 
+def test_host_that_is_cut_off_is_not_ready() -> None:
+    """Guard against callers who keep coming to a zone that is cut off.
+
+    Neither the coordinator nor most other hosts answered the hosts of a cut
+    zone. They stayed in rotation for the whole cut and refused half of their
+    callers, who are served in other zones otherwise.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        assert (await readiness_status(installation)) == 200
+        coordinator = coordinator_host(installation)
+        cut = next(
+            host for host in installation.hosts if host is not coordinator
+        )
+        installation.hosts.remove(cut)
+        installation.hosts.insert(0, cut)
+        await asyncio.sleep(0.5)
+        unreachable = f'127.0.0.1:{free_port()}'
+        cut.coordination.peers = [unreachable, unreachable]
+
+        async def fail(address: str) -> HostLink:
+            raise PeerError(address, 'no answer in time')
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr('oriolearch.coordination.connect', fail)
+            patch.setattr('oriolearch.succession.connect', fail)
+            for link in list(coordinator.coordination.peer_links):
+                link.close()
+            async with asyncio.timeout(4):
+                while (await readiness_status(installation)) == 200:
+                    await asyncio.sleep(0.1)
+        async with asyncio.timeout(4):
+            while (await readiness_status(installation)) != 200:
+                await asyncio.sleep(0.1)
+
+    run_scenario(scenario, hosts=4)
+
+
 def silence_store(host: HostDaemon) -> None:
     """Let the store answer no call of a host, open ones included."""
 
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -3,7 +3,12 @@
 import pytest
 
 from oriolearch.ports import StoredRow, TableState
-from oriolearch.relaying import Relay, decode_rows, encode_rows
+from oriolearch.relaying import (
+    Relay,
+    decode_rows,
+    discard_rows,
+    encode_rows,
+)
 
 TABLE = 'servers'
 
@@ -135,3 +140,19 @@
     """A malformed message must raise ValueError, which its task catches."""
     with pytest.raises(ValueError):
         decode_rows(message)
+
+
+def test_new_follower_forwards_what_only_it_has_read() -> None:
+    """Guard against a change that stays with the host that read it.
+
+    An open poll of a host that no longer followed the table read a new
+    configuration. The host was then chosen to follow the table for a
+    coordinator without store, and had nothing new to forward.
+    """
+    recorder = RecordingRelay()
+    recorder.relay.forward = discard_rows
+    rows = [row('known', 5)]
+    recorder.relay.receive(encode_rows(TABLE, rows, 5))
+    recorder.read(row('known', 5), row('new', 6), version=6)
+    recorder.relay.start_forwarding(recorder.forward)
+    assert recorder.sent == ['new']
