Keep survivors of a loss of most hosts in rotation; log cut-offs

Cause: a host that reaches less than half of its peers and no coordinator left the rotation. After a loss of power of most hosts that holds for all survivors, for 8 s, although they can serve.

Change: the store has to be out of reach as well. A host probes it, for 0.5 s at most, while it asks its peers, if the coordinator's host did not answer at all. The change is logged (442), and so is the opening of a pool (443). The case with the store in reach fails on the code before.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -74,6 +74,7 @@
 ISOLATED_TAKEOVER_S = 8.0
 STORE_POLL_S = 28.0  # long poll of the store
 FOLLOW_PAUSE_S = 0.2  # between polls of the coordinator row
+STORE_PROBE_S = 0.5  # a slow store answers within 0.2 s
 # The coordinator polls more often: each answer extends its authority, and a
 # store that stops to answer is noticed. Other hosts then read a new
 # configuration in time.
@@ -115,8 +116,8 @@
     :ivar host_count: number of hosts that dispatch requests, with this one.
     :ivar granting_contact_at: time of the last message of a coordinator that
         may grant and renew leases.
-    :ivar is_cut_off: whether neither the coordinator nor most of the other
-        hosts can be reached.
+    :ivar is_cut_off: whether neither the coordinator, nor most of the other
+        hosts, nor the store can be reached.
     :ivar open_takeovers: number of takeovers whose outcome is not known yet.
     """
 
@@ -414,19 +415,48 @@
             await asyncio.sleep(STORE_RETRY_S)
             return
         peers = tuple(self.peers)
-        hears = await asyncio.gather(
-            *(self._ask_peer(peer, row.term) for peer in peers),
+        hears, reaches_store = await asyncio.gather(
+            asyncio.gather(*(self._ask_peer(peer, row.term) for peer in peers)),
+            self._reaches_store(),
         )
-        answers = dict(zip(peers, hears, strict=True))
+        is_alone = is_isolated(
+            dict(zip(peers, hears, strict=True)), row.address
+        )
+        self._set_cut_off(is_alone and not reaches_store)
         is_early = lease_clock() - self.contact_lost_at < ISOLATED_TAKEOVER_S
-        self.is_cut_off = is_isolated(answers, row.address)
-        if any(hears) or (is_early and self.is_cut_off):
+        if any(hears) or (is_early and is_alone):
             await asyncio.sleep(STORE_RETRY_S)
             await self._read_owners()
             return
         if row is self.row:
             await self.try_takeover(reason)
 
+    async def _reaches_store(self) -> bool:
+        """Probe the store if the coordinator did not answer at all.
+
+        After a loss of most hosts the others still reach it, while a zone that
+        is cut off does not.
+        """
+        if not self.failed_connects:
+            return True
+        try:
+            async with asyncio.timeout(STORE_PROBE_S):
+                await self.store.read(COORDINATOR_TABLE)
+        except (PlatformError, TimeoutError):
+            # The tasks that watch the platform's tables log an outage.
+            return False
+        return True
+
+    def _set_cut_off(self, is_cut_off: bool) -> None:
+        if is_cut_off != self.is_cut_off:
+            self.is_cut_off = is_cut_off
+            self.log.emit(
+                Event.CUT_OFF_CHANGED,
+                is_cut_off=is_cut_off,
+                peers=len(self.peers),
+                silent_s=round(lease_clock() - self.last_contact_at, 3),
+            )
+
     async def _ask_peer(self, peer: str, term: int) -> bool | None:
         """Ask another host whether it has contact with the coordinator.
 
@@ -511,7 +541,7 @@
             )
         self.last_contact_at = lease_clock()
         self.last_contact_term = row.term
-        self.is_cut_off = False
+        self._set_cut_off(False)
         if message.get('grants', True):
             self.granting_contact_at = self.last_contact_at
             self.forwarder.lapsed_leases.clear()
@@ -822,7 +852,7 @@
             leadership.limit_predecessor(leadership.began_at)
         self.spawn(Succession(leadership, predecessor, self.log).run())
         self.leadership = leadership
-        self.is_cut_off = False
+        self._set_cut_off(False)
         self.forwarder.lapsed_leases.clear()
         self.relay.set_relayed(False)
         self.relay.forward = leadership.members.send_rows
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -319,6 +319,19 @@
         'Three upstreams refused keys of their own while no coordinator was '
         'heard; requests of the pool are refused.',
     )
+    CUT_OFF_CHANGED = EventKind(
+        442,
+        logging.WARNING,
+        ('is_cut_off', 'peers', 'silent_s'),
+        'Whether this host reaches the coordinator, most hosts or the store '
+        'has changed; one that reaches none of them is not ready.',
+    )
+    POOL_OPENED = EventKind(
+        443,
+        logging.INFO,
+        ('pool', 'upstreams', 'waited_s', 'has_requests'),
+        'The coordinator divides the keys of a pool without stored owners.',
+    )
     PREDECESSOR_OVER = EventKind(
         440,
         logging.INFO,
--- a/src/oriolearch/explaining.py
+++ b/src/oriolearch/explaining.py
@@ -18,6 +18,7 @@
         'host_started',
         'host_stopping',
         'leases_lapsed',
+        'cut_off_changed',
         'predecessor_over',
         'settings_read',
         'stepped_down',
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -446,6 +446,13 @@
             if not opening.is_due(now, usable, has_requests=has_requests):
                 return None
             ranges = make_even_ranges(usable)
+            self.log.emit(
+                Event.POOL_OPENED,
+                pool=pool,
+                upstreams=len(usable),
+                waited_s=round(now - opening.began_at, 3),
+                has_requests=has_requests,
+            )
         unknown_until = self.predecessor_end_at + _MAX_GRANT_S
         ownership = KeyOwnership(
             now,
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -1027,12 +1027,14 @@
     run_scenario(scenario, hosts=5)
 
 
-def test_host_that_is_cut_off_is_not_ready() -> None:
+@pytest.mark.parametrize('is_store_reachable', [False, True])
+def test_host_that_is_cut_off_is_not_ready(is_store_reachable: bool) -> None:
     """Guard against callers who keep coming to a zone that is cut off.
 
     Neither the coordinator nor most other hosts answered the hosts of a cut
     zone. They stayed in rotation for the whole cut and refused half of their
-    callers, who are served in other zones otherwise.
+    callers, who are served in other zones otherwise. A host that reaches the
+    store has survived a loss of most hosts, and has to stay in rotation.
     """
 
     async def scenario(installation: Installation) -> None:
@@ -1053,11 +1055,16 @@
         with pytest.MonkeyPatch.context() as patch:
             patch.setattr('oriolearch.coordination.connect', fail)
             patch.setattr('oriolearch.succession.connect', fail)
+            installation.store.is_down = not is_store_reachable
             for link in list(coordinator.coordination.peer_links):
                 link.close()
-            async with asyncio.timeout(4):
-                while (await readiness_status(installation)) == 200:
-                    await asyncio.sleep(0.1)
+            ends_at = asyncio.get_running_loop().time() + 4
+            statuses: set[int] = set()
+            while asyncio.get_running_loop().time() < ends_at:
+                statuses.add(await readiness_status(installation))
+                await asyncio.sleep(0.1)
+            assert statuses == ({200} if is_store_reachable else {200, 503})
+        installation.store.is_down = False
         async with asyncio.timeout(4):
             while (await readiness_status(installation)) != 200:
                 await asyncio.sleep(0.1)
