Forward to a new coordinator what only its predecessor had sent

A host that starts to follow the tables for a new one, which lags behind, would not have sent it what the predecessor had. The versions now count for one coordinator.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -483,6 +483,7 @@
             return error.reason
         self.failed_connects = 0
         reporter = self.spawn(self._report(link))
+        self.relay.start_receiving()
         try:
             link.send(
                 {
--- a/src/oriolearch/relaying.py
+++ b/src/oriolearch/relaying.py
@@ -91,8 +91,8 @@
     :ivar forward: sends changed rows to other hosts.
     :ivar is_primary: whether the other hosts rely on this one, the
         coordinator, to read changes first.
-    :ivar received_versions: version of each table up to which other hosts have
-        sent changes, and have them themselves.
+    :ivar received_versions: version of each table up to which the present
+        coordinator has sent changes, and has them itself.
     :ivar must_poll: set while this host has to poll the store, since no other
         host sends it all changes.
     """
@@ -141,6 +141,13 @@
         if changed:
             self.forward(table, changed, mirror.version)
 
+    def start_receiving(self) -> None:
+        """Record that another coordinator sends changes from now on.
+
+        It may lack changes that its predecessor has sent.
+        """
+        self.received_versions.clear()
+
     def start_forwarding(self, forward: Forward) -> None:
         """Forward changes from now on, and those that only this host read.
 
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -142,17 +142,25 @@
         decode_rows(message)
 
 
-def test_new_follower_forwards_what_only_it_has_read() -> None:
+@pytest.mark.parametrize('has_new_coordinator', [False, True])
+def test_new_follower_forwards_what_the_coordinator_lacks(
+    has_new_coordinator: bool,
+) -> None:
     """Guard against a change that stays with the host that read it.
 
     An open poll of a host that no longer followed the table read a new
     configuration. The host was then chosen to follow the table for a
-    coordinator without store, and had nothing new to forward.
+    coordinator without store, and had nothing new to forward. Another
+    coordinator may lack what its predecessor has sent.
     """
     recorder = RecordingRelay()
     recorder.relay.forward = discard_rows
     rows = [row('known', 5)]
     recorder.relay.receive(encode_rows(TABLE, rows, 5))
+    if has_new_coordinator:
+        recorder.relay.receive(encode_rows(TABLE, [row('new', 6)], 6))
+        recorder.relay.start_receiving()
+        recorder.relay.receive(encode_rows(TABLE, [], 5))
     recorder.read(row('known', 5), row('new', 6), version=6)
     recorder.relay.start_forwarding(recorder.forward)
     assert recorder.sent == ['new']
