--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -955,8 +955,8 @@
         leadership = self.leadership
         if leadership is None:
             return
-        while not leadership.is_ready_for_handover(lease_clock()):
-            leadership.prepare_handover(lease_clock())
+        while not leadership.is_ready_for_takeover(lease_clock()):
+            leadership.prepare_takeover(lease_clock())
             await asyncio.sleep(START_POLL_S)
         leadership.mark_leaving()
         while self.leadership is leadership:
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -76,7 +76,7 @@
 YIELD_PERIOD_S = 2.0  # between requests that a larger host takes over
 # Open moves get this long to complete before a successor is asked for. One
 # takes a release, a grant and two writes to the store.
-HANDOVER_SETTLE_S = 1.0
+TAKEOVER_SETTLE_S = 1.0
 # A host with this multiple of the coordinator's capacity should replace it.
 YIELD_CAPACITY_RATIO = 2.0
 WITNESS_DELAY_S = 0.5  # most hosts have connected by then
@@ -152,7 +152,7 @@
         )
         self.rates: dict[str, dict[int, float]] = {}
         self.service_times: dict[str, dict[str, float]] = {}
-        self.handover_began_at: float | None = None
+        self.takeover_awaited_since: float | None = None
         self.has_asked_larger_host = False
         self.is_over = False
         self.failing_since: float | None = None
@@ -163,9 +163,9 @@
         return self.members.is_own_host_leaving
 
     @property
-    def is_handing_over(self) -> bool:
+    def awaits_takeover(self) -> bool:
         """Return whether another host is about to take over."""
-        return self.is_leaving or self.handover_began_at is not None
+        return self.is_leaving or self.takeover_awaited_since is not None
 
     def mark_leaving(self) -> None:
         """Record that the coordinator's host is shutting down.
@@ -175,21 +175,21 @@
         """
         self.members.is_own_host_leaving = True
 
-    def prepare_handover(self, now: float) -> None:
+    def prepare_takeover(self, now: float) -> None:
         """Complete the moves of keys and plan no more for balance.
 
         A successor that reads of a move has to wait for the end of the
         previous owner's last lease, so the keys would have no owner meanwhile.
         """
-        if self.handover_began_at is None:
-            self.handover_began_at = now
+        if self.takeover_awaited_since is None:
+            self.takeover_awaited_since = now
 
-    def is_ready_for_handover(self, now: float) -> bool:
+    def is_ready_for_takeover(self, now: float) -> bool:
         """Return whether moves are complete, or waiting longer is no use."""
-        began_at = self.handover_began_at
-        if began_at is None:
+        since = self.takeover_awaited_since
+        if since is None:
             return False
-        if self.is_over or now >= began_at + HANDOVER_SETTLE_S:
+        if self.is_over or now >= since + TAKEOVER_SETTLE_S:
             return True
         return not any(
             ownership.has_open_moves() for ownership in self.pools.values()
@@ -304,10 +304,10 @@
         if largest is None or self.has_asked_larger_host:
             # Either no host is larger, or it could not take over.
             self.has_asked_larger_host = False
-            self.handover_began_at = None
+            self.takeover_awaited_since = None
             return True
-        self.prepare_handover(now)
-        if not self.is_ready_for_handover(now):
+        self.prepare_takeover(now)
+        if not self.is_ready_for_takeover(now):
             return False
         largest.send({'kind': 'yield', 'term': self.row.term})
         self.has_asked_larger_host = True
@@ -495,7 +495,7 @@
     def _balance(self, now: float) -> None:
         factor = 0.5 ** (BALANCE_PERIOD_S / RATE_HALF_LIFE_S)
         for pool, ownership in self.pools.items():
-            if self.failing_since is not None or self.is_handing_over:
+            if self.failing_since is not None or self.awaits_takeover:
                 continue
             rates = self.rates.get(pool, {})
             for key in list(rates):
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -386,6 +386,13 @@
     return statuses
 
 
+async def send_for(installation: Installation, for_s: float) -> Counter[int]:
+    """Send orders and have keys moved for some seconds."""
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + for_s
+    return await send_until(installation, lambda: loop.time() >= ends_at)
+
+
 def test_moves_are_complete_when_a_larger_host_takes_over() -> None:
     """Guard against keys without an owner after a planned takeover.
 
@@ -403,11 +410,7 @@
         statuses = await send_until(
             installation, lambda: large.coordination.leadership is not None
         )
-        ends_at = asyncio.get_running_loop().time() + 1.5
-        statuses += await send_until(
-            installation,
-            lambda: asyncio.get_running_loop().time() >= ends_at,
-        )
+        statuses += await send_for(installation, 1.5)
         assert small.coordination.leadership is None
         assert set(statuses) == {200}, statuses
 
@@ -425,20 +428,12 @@
         # Orders go to the first host of the list.
         installation.hosts.remove(other)
         installation.hosts.insert(0, other)
-        moving_until = asyncio.get_running_loop().time() + 0.7
-        await send_until(
-            installation,
-            lambda: asyncio.get_running_loop().time() >= moving_until,
-        )
+        await send_for(installation, 0.7)
         stopping = asyncio.create_task(coordinator.stop())
         statuses = await send_until(
             installation, lambda: other.coordination.leadership is not None
         )
-        ends_at = asyncio.get_running_loop().time() + 1.5
-        statuses += await send_until(
-            installation,
-            lambda: asyncio.get_running_loop().time() >= ends_at,
-        )
+        statuses += await send_for(installation, 1.5)
         assert set(statuses) == {200}, statuses
         await stopping
 
