Close a connection whose answer ends with the stop of a stand-in

test_control_calls_are_answered_during_a_freeze: an error at its teardown. cheroot checks for a stop and then returns a connection to its selector, which the stop may have closed in between; 14 of 30 threads that had just answered raised ValueError. Stand-ins now close the connection. A test fails before and passes now.

--- a/src/oriolearch/standins/server.py
+++ b/src/oriolearch/standins/server.py
@@ -275,6 +275,17 @@
         sock.bind(bind_addr)
         return sock
 
+    def put_conn(self, conn: _Connection) -> None:
+        """Wait for the next request of a connection.
+
+        A stop may close the selector after cheroot has checked for a stop.
+        """
+        try:
+            super().put_conn(conn)
+        except ValueError:
+            logger.info('connection closed, as the server has stopped')
+            conn.close()
+
     def error_log(
         self,
         msg: str = '',
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -3,11 +3,15 @@
 import socket
 import threading
 from collections.abc import Callable
+from types import SimpleNamespace
 from typing import Any
 
+import pytest
+
 from oriolearch.clock import RealClock, wait_on
 from oriolearch.standins.platform import PlatformStandin
 from oriolearch.standins.plain import PlainStandin
+from oriolearch.standins.server import LoopbackServer, Response
 from tests.conftest import TIMEOUT_S, Client, eventually
 
 Connect = Callable[[Any], Client]
@@ -94,3 +98,26 @@
         while clock.monotonic() < until:
             wait_on(clock, condition, until)
     assert clock.monotonic() - until < 60 * 1000
+
+
+def test_answer_that_ends_with_the_stop_closes_its_connection() -> None:
+    """Guard against an error in a thread that answers during a stop.
+
+    Fourteen of thirty threads that had just answered found the selector of
+    the stopped server closed (CI beside plays, once).
+    """
+
+    closed: list[object] = []
+    conn: Any = SimpleNamespace(close=lambda: closed.append(conn))
+
+    def put(conn: object) -> None:
+        raise ValueError('I/O operation on closed epoll object')
+
+    loopback = LoopbackServer(lambda request: Response(200))
+    loopback.start()
+    server: Any = loopback.server
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(server, '_connections', SimpleNamespace(put=put))
+        server.put_conn(conn)
+    loopback.stop()
+    assert closed == [conn]
