--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -298,9 +298,9 @@
 
         :returns: whether there is nothing left to do for this period.
         """
-        largest = self._find_larger()
         if self.is_leaving:
             return True
+        largest = self._find_larger()
         if largest is None or self.has_asked_larger_host:
             # Either no host is larger, or it could not take over.
             self.has_asked_larger_host = False
--- a/src/oriolearch/platform/documents.py
+++ b/src/oriolearch/platform/documents.py
@@ -1,9 +1,7 @@
 """Decoding of the rows that the operator and the servers store."""
 
 import json
-import math
 from collections.abc import Iterable, Iterator
-from typing import Any
 
 from oriolearch.core.directory import (
     CallerLimits,
@@ -17,6 +15,7 @@
     make_directory,
 )
 from oriolearch.core.errors import ValidationError
+from oriolearch.platform.fields import Fields
 
 OPERATOR_TABLE = 'op'
 UPSTREAM_TABLE = 'servers'
@@ -31,59 +30,12 @@
 _UPSTREAM_STATES = frozenset(('ready', 'draining'))
 
 
-class _Fields:
-    """Typed access to the fields of a JSON object."""
-
-    def __init__(self, source: str, values: object) -> None:
-        if not isinstance(values, dict):
-            parent, _, field = source.rpartition('.')
-            raise ValidationError(parent, field, values, 'must be an object')
-        self.source = source
-        self.values: dict[str, Any] = values
-
-    def text(self, name: str) -> str:
-        value = self.values.get(name)
-        if not isinstance(value, str) or not value:
-            raise ValidationError(
-                self.source,
-                name,
-                value,
-                'must be a non-empty string',
-            )
-        return value
-
-    def number(self, name: str, default: float | None = None) -> float:
-        value = self.values.get(name, default)
-        if isinstance(value, bool) or not isinstance(value, (int, float)):
-            raise ValidationError(self.source, name, value, 'must be a number')
-        if not math.isfinite(value):
-            raise ValidationError(self.source, name, value, 'must be finite')
-        return float(value)
-
-    def integer(self, name: str) -> int:
-        value = self.values.get(name, 0)
-        if isinstance(value, bool) or not isinstance(value, int):
-            reason = 'must be an integer'
-            raise ValidationError(self.source, name, value, reason)
-        return value
-
-    def objects(self, name: str) -> Iterator['_Fields']:
-        value = self.values.get(name)
-        if not isinstance(value, list):
-            raise ValidationError(self.source, name, value, 'must be a list')
-        for index, part in enumerate(value):
-            yield _Fields(f'{self.source}.{name}[{index}]', part)
-
-    def nested(self, name: str) -> '_Fields':
-        return _Fields(f'{self.source}.{name}', self.values.get(name))
-
-
 def decode_directory(value: bytes) -> Directory:
     """Decode the operator's configuration.
 
     :raises ValidationError: when a field is missing or invalid.
     """
-    fields = _Fields('config', _parse('config', value))
+    fields = Fields('config', _parse('config', value))
     version = fields.text('version')
     if not version.startswith('r') or not version[1:].isdigit():
         raise ValidationError('config', 'version', version, 'must be r<number>')
@@ -101,7 +53,7 @@
     :param name: key of the row, which is the server's name.
     :raises ValidationError: when a field is missing or invalid.
     """
-    fields = _Fields(name, _parse(name, value))
+    fields = Fields(name, _parse(name, value))
     info = fields.nested('info')
     status = fields.nested('status')
     state = status.text('state')
@@ -132,14 +84,14 @@
         raise ValidationError(source, '', value[:80], str(error)) from error
 
 
-def _decode_routes(fields: _Fields) -> Iterator[RoutePlan]:
+def _decode_routes(fields: Fields) -> Iterator[RoutePlan]:
     for listener in fields.objects('listeners'):
         host = listener.text('host').lower()
         for rule in listener.objects('rules'):
             yield _decode_route(host, rule)
 
 
-def _decode_route(host: str, rule: _Fields) -> RoutePlan:
+def _decode_route(host: str, rule: Fields) -> RoutePlan:
     kind = rule.text('kind')
     if kind not in _ROUTE_KINDS:
         raise ValidationError(
@@ -171,7 +123,7 @@
     )
 
 
-def _decode_pool(fields: _Fields) -> PoolPlan:
+def _decode_pool(fields: Fields) -> PoolPlan:
     return PoolPlan(
         name=fields.text('name'),
         is_keyed=bool(fields.values.get('sharded')),
@@ -183,7 +135,7 @@
     )
 
 
-def _decode_limits(fields: _Fields) -> CallerLimits:
+def _decode_limits(fields: Fields) -> CallerLimits:
     defaults = CallerLimits()
     return CallerLimits(
         int(fields.number('max_header_bytes', defaults.header_bytes)),
--- a/src/oriolearch/platform/reports.py
+++ b/src/oriolearch/platform/reports.py
@@ -1,12 +1,11 @@
 """Reports of days that the users' bench has played."""
 
 import json
-from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
 from oriolearch.core.errors import ValidationError
+from oriolearch.platform.fields import Fields
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,52 +70,30 @@
     """
     if not isinstance(fields, dict):
         raise ValidationError(source, '', fields, 'must be an object')
+    report = Fields(source, fields)
     return DayReport(
-        worth=_read(source, fields, 'G', float),
-        periods=tuple(_read_outcomes(source, fields, 'windows')),
-        zones=tuple(_read_outcomes(source, fields, 'zones')),
-        kinds=tuple(_read_outcomes(source, fields, 'classes')),
+        worth=report.number('G'),
+        periods=tuple(map(_decode_outcomes, report.objects('windows'))),
+        zones=tuple(map(_decode_outcomes, report.objects('zones'))),
+        kinds=tuple(map(_decode_outcomes, report.objects('classes'))),
         disruptions=tuple(
             Disruption(
-                name=_read(path, event, 'kind', str),
-                starts_at_s=_read(path, event, 'at_s', float),
-                ends_at_s=_read(path, event, 'to_s', float),
-                is_planned=_read(path, event, 'planned', bool),
+                name=event.text('kind'),
+                starts_at_s=event.number('at_s'),
+                ends_at_s=event.number('to_s'),
+                is_planned=event.flag('planned'),
             )
-            for path, event in _read_objects(source, fields, 'events')
+            for event in report.objects('events')
         ),
     )
 
 
-def _read_outcomes(
-    source: str, fields: Mapping[str, Any], name: str
-) -> Iterator[Outcomes]:
-    for path, entry in _read_objects(source, fields, name):
-        yield Outcomes(
-            name=_read(path, entry, 'name', str),
-            timely=_read(path, entry, 'in_aim', int),
-            late=_read(path, entry, 'late', int),
-            refused=_read(path, entry, 'refused', int),
-            failed=_read(path, entry, 'failed', int),
-            worth=_read(path, entry, 'worth', float),
-        )
-
-
-def _read_objects(
-    source: str, fields: Mapping[str, Any], name: str
-) -> Iterator[tuple[str, dict[str, Any]]]:
-    for number, entry in enumerate(_read(source, fields, name, list)):
-        if not isinstance(entry, dict):
-            raise ValidationError(
-                source, f'{name}[{number}]', entry, 'must be an object'
-            )
-        yield f'{source}: {name}[{number}]', entry
-
-
-def _read(source: str, fields: Mapping[str, Any], name: str, kind: type) -> Any:
-    value = fields.get(name)
-    kinds = (float, int) if kind is float else (kind,)
-    is_flag = isinstance(value, bool) and kind is not bool
-    if is_flag or not isinstance(value, kinds):
-        raise ValidationError(source, name, value, f'must be a {kind.__name__}')
-    return value
+def _decode_outcomes(fields: Fields) -> Outcomes:
+    return Outcomes(
+        name=fields.text('name'),
+        timely=fields.integer('in_aim', None),
+        late=fields.integer('late', None),
+        refused=fields.integer('refused', None),
+        failed=fields.integer('failed', None),
+        worth=fields.number('worth'),
+    )
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -105,6 +105,14 @@
         self.hosts.append(host)
         return host
 
+    async def start_small_then_large(self) -> tuple[HostDaemon, HostDaemon]:
+        """Replace all hosts by a small coordinator and a larger host."""
+        for host in list(self.hosts):
+            self.kill(host)
+        small = await self.add_small_host('small')
+        await self.wait_until_all_served()
+        return small, await self.add_host('large')
+
     def kill(self, host: HostDaemon) -> None:
         """Stop a host without a handover, as SIGKILL does."""
         self.hosts.remove(host)
@@ -337,11 +345,7 @@
     """
 
     async def scenario(installation: Installation) -> None:
-        for host in list(installation.hosts):
-            installation.kill(host)
-        small = await installation.add_small_host('small')
-        await installation.wait_until_all_served()
-        large = await installation.add_host('large')
+        small, large = await installation.start_small_then_large()
         statuses: set[int] = set()
         async with asyncio.timeout(6):
             while large.coordination.leadership is None:
@@ -402,11 +406,7 @@
     """
 
     async def scenario(installation: Installation) -> None:
-        for host in list(installation.hosts):
-            installation.kill(host)
-        small = await installation.add_small_host('small')
-        await installation.wait_until_all_served()
-        large = await installation.add_host('large')
+        small, large = await installation.start_small_then_large()
         statuses = await send_until(
             installation, lambda: large.coordination.leadership is not None
         )
