--- a/src/oriolearch/adapters/callers.py
+++ b/src/oriolearch/adapters/callers.py
@@ -346,13 +346,20 @@
         self.requests.put(conn)
 
     def put_conn(self, conn: CallerConnection) -> None:
-        """Return a served connection to the selector or a stream thread."""
+        """Return a served connection to the selector or a stream thread.
+
+        A stop may close the selector after cheroot has checked for a stop.
+        """
         if conn.unfinished is not None:
             self._start_download(conn)
         elif conn.request is not None and conn.request.is_upload:
             self._start_upload(conn)
         else:
-            super().put_conn(conn)
+            try:
+                super().put_conn(conn)
+            except ValueError:
+                self.error_log('connection closed, as the server has stopped')
+                conn.close()
 
     def error_log(
         self,
