Prove the end of all earlier coordinators, not only of the last

Cause: a successor asked only the coordinator whose row it replaced, and that coordinator's witnesses. If that one had ended before it knew its own predecessor to be over, the proof said nothing about the coordinator before it, which may be cut off and still grant. Two ways: the second coordinator is killed at once and its restarted host answers (all authority assumed over 0.11 to 0.19 s after its takeover, 2.5 s are the least); or the answer to a takeover is lost, the read after it fails, and the host takes over from its own term that never began (0.004 to 0.011 s).

Ruled out: fences alone. They stop the older coordinator only at upstreams that the newest one reaches; keys of an upstream that only the older one reaches would have two owners.

Change: the coordinator's row names up to four earlier terms; the witnesses' row says whether they were known to be over and until then names their witnesses; a successor proves the end of each, and waits the longest authority for terms that it does not know. A host that is asked about a takeover that is not answered yet does not begin that term. One write of the store more after the loss of a coordinator.

Property test of a second takeover with 300 seeds, and one that shows that it finds a forgotten term.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -12,6 +12,7 @@
 from oriolearch.coordinator_rows import (
     COORDINATOR_ROW,
     COORDINATOR_TABLE,
+    MAX_EARLIER_TERMS,
     OWNER_TABLE,
     CoordinatorRow,
     decode_coordinator,
@@ -775,7 +776,14 @@
         self, reason: str, predecessor: CoordinatorRow | None
     ) -> None:
         term = self.row.term + 1 if self.row else 1
-        row = CoordinatorRow(self.host, self.address, term, self.nonce)
+        earlier = predecessor.known_terms() if predecessor else ()
+        row = CoordinatorRow(
+            self.host,
+            self.address,
+            term,
+            self.nonce,
+            earlier=earlier[:MAX_EARLIER_TERMS],
+        )
         outcome = 'won'
         began_at = lease_clock()
         try:
@@ -836,6 +844,15 @@
     ) -> None:
         if self.row_version > version:
             return
+        if not self.promise.may_acknowledge(row.term):
+            # A successor asked for this term's end before its begin.
+            self.log.emit(
+                Event.TAKEOVER,
+                term=row.term,
+                outcome='given up',
+                reason='another host took over',
+            )
+            return
         self.row = row
         self.row_version = version
         leadership = Leadership(
--- a/src/oriolearch/coordinator_rows.py
+++ b/src/oriolearch/coordinator_rows.py
@@ -23,6 +23,7 @@
 COORDINATOR_ROW = RowName(COORDINATOR_TABLE, 'coordinator')
 COMPRESS_FROM_BYTES = 4096  # smaller rows stay readable
 MAX_UNPACKED_BYTES = 8 * 1024 * 1024  # limits the decompression of a row
+MAX_EARLIER_TERMS = 4  # a successor of more hosts that were lost just waits
 WITNESS_ROW = RowName('oriolearch-witnesses', 'witnesses')
 
 
@@ -32,6 +33,9 @@
 
     :param is_leaving: the coordinator's host is shutting down, and coordinates
         until another host takes over.
+    :param earlier: rows of the terms just before, newest first and without
+        earlier terms of their own. A successor proves the end of those that
+        were not known to be over.
     """
 
     host: str
@@ -39,6 +43,7 @@
     term: int
     nonce: str
     is_leaving: bool = False
+    earlier: tuple['CoordinatorRow', ...] = ()
 
     def encode(self) -> bytes:
         """Return the row's value."""
@@ -49,9 +54,18 @@
                 'term': self.term,
                 'nonce': self.nonce,
                 'leaving': self.is_leaving,
+                'earlier': [
+                    [row.host, row.address, row.term, row.nonce]
+                    for row in self.earlier
+                ],
             },
         ).encode()
 
+    def known_terms(self) -> tuple['CoordinatorRow', ...]:
+        """Return the rows of this term and of the earlier ones it names."""
+        own = CoordinatorRow(self.host, self.address, self.term, self.nonce)
+        return (own, *self.earlier)
+
     def is_same_term(self, other: 'CoordinatorRow') -> bool:
         """Return whether two rows name the same run of a coordinator."""
         return (self.term, self.nonce) == (other.term, other.nonce)
@@ -67,6 +81,10 @@
             int(fields['term']),
             str(fields['nonce']),
             bool(fields['leaving']),
+            tuple(
+                CoordinatorRow(str(host), str(address), int(term), str(nonce))
+                for host, address, term, nonce in fields.get('earlier', ())
+            ),
         )
     except (ValueError, KeyError, TypeError):
         return None
--- a/src/oriolearch/core/witnesses.py
+++ b/src/oriolearch/core/witnesses.py
@@ -10,11 +10,16 @@
 is current, and a successor reads it after its takeover. While it is unknown
 whether a change of the witnesses has been stored, the coordinator needs the
 acknowledgements of both groups.
+
+That a predecessor has ended proves nothing about the coordinators before it,
+which may be cut off and still act. The row therefore says whether all earlier
+terms are over, and names the witnesses of those that may not be.
 """
 
 import json
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
 
 # Two of three acknowledge a coordinator or promise a successor, so that one
 # may fail.
@@ -41,33 +46,68 @@
 
 @dataclass(frozen=True, slots=True)
 class WitnessRow:
-    """The row that names the witnesses of a coordinator's term."""
+    """The row that names the witnesses of a coordinator's term.
+
+    :param term: 0 when there is no readable row.
+    :param is_settled: whether all earlier terms are known to be over.
+    :param earlier: witnesses of earlier terms that may not be over, by term.
+    """
 
     term: int
-    witnesses: tuple[Witness, ...]
+    witnesses: tuple[Witness, ...] = ()
+    is_settled: bool = False
+    earlier: Mapping[int, tuple[Witness, ...]] = field(default_factory=dict)
+
+    def of_term(self, term: int) -> tuple[Witness, ...]:
+        """Return the witnesses of a term, or none if the row names none.
+
+        A successor without witnesses waits for the end of the longest
+        authority, which causes a delay but is safe.
+        """
+        if term == self.term:
+            return self.witnesses
+        return self.earlier.get(term, ())
 
     def encode(self) -> bytes:
         """Return the value of the row."""
-        pairs = [[witness.address, witness.run] for witness in self.witnesses]
-        return json.dumps({'term': self.term, 'witnesses': pairs}).encode()
+        fields = {
+            'term': self.term,
+            'witnesses': _encode_group(self.witnesses),
+            'settled': self.is_settled,
+            'earlier': {
+                str(term): _encode_group(group)
+                for term, group in self.earlier.items()
+            },
+        }
+        return json.dumps(fields).encode()
 
 
-def decode_witnesses(value: bytes | None, term: int) -> tuple[Witness, ...]:
-    """Return the witnesses of a term, or none if the row names no such term.
+def decode_witnesses(value: bytes | None) -> WitnessRow:
+    """Decode the row; an unreadable one has term 0 and names no witnesses.
 
-    A successor without witnesses waits for the end of the longest authority,
-    so an unreadable row causes a delay but is safe.
+    Rows of versions that did not record earlier terms count as not settled.
     """
     try:
         fields = json.loads(value or b'')
-        if int(fields['term']) != term:
-            return ()
-        return tuple(
-            Witness(str(address), str(run))
-            for address, run in fields['witnesses']
+        return WitnessRow(
+            int(fields['term']),
+            _decode_group(fields['witnesses']),
+            fields.get('settled') is True,
+            {
+                int(term): _decode_group(group)
+                for term, group in dict(fields.get('earlier', {})).items()
+            },
         )
     except (ValueError, KeyError, TypeError):
-        return ()
+        return WitnessRow(0)
+
+
+def _encode_group(group: Iterable[Witness]) -> list[list[str]]:
+    return [[witness.address, witness.run] for witness in group]
+
+
+def _decode_group(pairs: Any) -> tuple[Witness, ...]:
+    return tuple(Witness(str(address), str(run)) for address, run in pairs)
 
 
 class Authority:
@@ -206,6 +246,46 @@
         self.over_at = min(self.over_at, now)
 
 
+class EarlierTerms:
+    """Determines by when all terms before a takeover are over.
+
+    :param terms: the terms that the successor knows of, newest first and
+        without gaps.
+    :param row: the row that it read after its takeover.
+    :ivar ends: the end of each known term that may not be over.
+    """
+
+    def __init__(
+        self, terms: Sequence[int], row: WitnessRow, took_over_at: float
+    ) -> None:
+        oldest = row.term if row.is_settled else 1
+        self.ends = {
+            term: PredecessorEnd(row.of_term(term), took_over_at)
+            for term in terms
+            if term >= oldest
+        }
+        # Terms that it does not know of may not be over either.
+        self.others_over_at = (
+            took_over_at
+            if min(terms) <= oldest
+            else took_over_at + LONG_AUTHORITY_S
+        )
+
+    @property
+    def over_at(self) -> float:
+        """Return the time by which all terms are over."""
+        times = [end.over_at for end in self.ends.values()]
+        return max([self.others_over_at, *times])
+
+    def witnesses(self) -> dict[int, tuple[Witness, ...]]:
+        """Return the witnesses of the terms that may not be over."""
+        return {
+            term: end.witnesses
+            for term, end in self.ends.items()
+            if end.witnesses
+        }
+
+
 def choose_witnesses(
     hosts: Mapping[Witness, str],
     kept: Iterable[Witness],
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -303,7 +303,7 @@
     WITNESSES_CHOSEN = EventKind(
         439,
         logging.INFO,
-        ('term', 'witnesses', 'row_version'),
+        ('term', 'witnesses', 'is_settled', 'row_version'),
         'The witnesses that acknowledge this coordinator changed.',
     )
     COLD_PROBED = EventKind(
@@ -336,7 +336,7 @@
         440,
         logging.INFO,
         ('coordinator', 'term', 'promises', 'witnesses', 'in_s'),
-        'It is known when the previous coordinator loses its authority.',
+        'It is known when an earlier coordinator loses its authority.',
     )
     KEYS_MOVED = EventKind(
         436,
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -57,6 +57,7 @@
     Witness,
     WitnessRow,
     choose_witnesses,
+    decode_witnesses,
 )
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.granting import GrantExecutor, GrantPort
@@ -141,6 +142,8 @@
         self.authority = Authority(self.began_at)
         self.witness_version: int | None = None
         self.witnesses: tuple[Witness, ...] = ()
+        self.earlier_witnesses: dict[int, tuple[Witness, ...]] = {}
+        self.is_settlement_stored = False
         self.is_storing_witnesses = False
         self.predecessor_end_at = self.began_at + LONG_AUTHORITY_S
         self.pools: dict[str, KeyOwnership] = {}
@@ -267,7 +270,7 @@
         self.service_times.setdefault(pool, {}).update(service_times)
 
     def limit_predecessor(self, over_at: float) -> None:
-        """Record when the predecessor's authority ends at the latest."""
+        """Record by when the authority of all predecessors has ended."""
         self.predecessor_end_at = min(self.predecessor_end_at, over_at)
         until = self.predecessor_end_at + _MAX_GRANT_S
         for ownership in self.pools.values():
@@ -335,21 +338,22 @@
             self.witnesses,
             self.members.own_member.zone,
         )
-        if chosen and set(chosen) != set(self.witnesses):
-            self.is_storing_witnesses = True
-            self.local_host.spawn(
-                self._store_witnesses(self.witness_version, chosen)
-            )
+        if not chosen:
+            chosen = self.witnesses
+        is_settled = lease_clock() >= self.predecessor_end_at
+        if set(chosen) == set(self.witnesses) and (
+            self.is_settlement_stored or not is_settled
+        ):
+            return
+        earlier = {} if is_settled else self.earlier_witnesses
+        row = WitnessRow(self.row.term, chosen, is_settled, earlier)
+        self.is_storing_witnesses = True
+        self.local_host.spawn(self._store_witnesses(self.witness_version, row))
 
-    async def _store_witnesses(
-        self,
-        version: int,
-        chosen: tuple[Witness, ...],
-    ) -> None:
+    async def _store_witnesses(self, version: int, row: WitnessRow) -> None:
         sent_at = lease_clock()
         conditions = {COORDINATOR_ROW: self.row_version, WITNESS_ROW: version}
-        row = WitnessRow(self.row.term, chosen)
-        self.authority.record_proposed_group(chosen)
+        self.authority.record_proposed_group(row.witnesses)
         try:
             self.witness_version = await self.store.commit(
                 conditions,
@@ -365,13 +369,15 @@
                 self._recover_witness_version(error)
             await asyncio.sleep(WITNESS_RETRY_S)
         else:
-            self.authority.record_stored_group(chosen)
+            self.authority.record_stored_group(row.witnesses)
             self.authority.record_confirmation(sent_at)
-            self.witnesses = chosen
+            self.witnesses = row.witnesses
+            self.is_settlement_stored = row.is_settled
             self.log.emit(
                 Event.WITNESSES_CHOSEN,
                 term=self.row.term,
-                witnesses=[witness.address for witness in chosen],
+                witnesses=[witness.address for witness in row.witnesses],
+                is_settled=row.is_settled,
                 row_version=self.witness_version,
             )
         finally:
@@ -398,8 +404,8 @@
         rows = await self._read_table(OWNER_TABLE)
         self.stored_rows = {row.key: row for row in rows}
 
-    async def read_witnesses(self) -> StoredRow | None:
-        """Return the row with the witnesses of the last term, if any."""
+    async def read_witnesses(self) -> WitnessRow:
+        """Read the row with the witnesses of the last term that stored any."""
         rows = await self._read_table(WITNESS_ROW.table)
         named = (
             row
@@ -408,7 +414,7 @@
         )
         row = next(named, None)
         self.witness_version = row.version if row else 0
-        return row
+        return decode_witnesses(row.value if row else None)
 
     async def _read_table(self, table: str) -> tuple[StoredRow, ...]:
         """Read a table, with retries until the term is over."""
--- a/src/oriolearch/succession.py
+++ b/src/oriolearch/succession.py
@@ -1,4 +1,4 @@
-"""Find out when the predecessor of a new coordinator stopped acting."""
+"""Find out when the predecessors of a new coordinator stopped acting."""
 
 import asyncio
 
@@ -7,9 +7,9 @@
 from oriolearch.coordinator_rows import CoordinatorRow
 from oriolearch.core.errors import PeerError
 from oriolearch.core.witnesses import (
+    EarlierTerms,
     PredecessorEnd,
     Witness,
-    decode_witnesses,
 )
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.leadership import Leadership
@@ -19,10 +19,11 @@
 
 
 class Succession:
-    """Proves that a coordinator's predecessor sends no more grants.
+    """Proves that earlier coordinators send no more grants.
 
-    The proof allows keys to be granted before the predecessor's longest
-    possible authority has run out.
+    The proof allows keys to be granted before their longest possible authority
+    has run out. The earlier terms that the predecessor's row names count too:
+    the predecessor may have ended before they were known to be over.
 
     :param predecessor: ``None`` when there is none that may still act.
     """
@@ -39,57 +40,68 @@
         self.took_over_at = lease_clock()
 
     async def run(self) -> None:
-        """Ask the predecessor and its witnesses for proof until it is over.
+        """Ask the coordinators and their witnesses for proof until it is over.
 
-        A witness that promises no longer acknowledges the predecessor.
+        A witness that promises no longer acknowledges the coordinator.
         """
         row = await self.leadership.read_witnesses()
-        predecessor = self.predecessor
-        if predecessor is None:
+        if self.predecessor is None:
             return
-        value = row.value if row else None
-        witnesses = decode_witnesses(value, predecessor.term)
-        end = PredecessorEnd(witnesses, self.took_over_at)
-        while not self.leadership.is_over and lease_clock() < end.over_at:
-            previous_over_at = end.over_at
+        rows = {term.term: term for term in self.predecessor.known_terms()}
+        earlier = EarlierTerms(tuple(rows), row, self.took_over_at)
+        self.leadership.earlier_witnesses = earlier.witnesses()
+        while not self.leadership.is_over and lease_clock() < earlier.over_at:
             await asyncio.gather(
-                self._ask_predecessor(predecessor, end),
                 *(
-                    self._ask_witness(witness, predecessor.term, end)
-                    for witness in witnesses
-                    if witness.run not in end.promised_runs
-                ),
+                    self._prove_end(rows[term], end)
+                    for term, end in earlier.ends.items()
+                    if lease_clock() < end.over_at
+                )
             )
-            if end.over_at < previous_over_at:
-                self._record_end(predecessor, end)
+            self.leadership.limit_predecessor(earlier.over_at)
             await asyncio.sleep(ASK_PERIOD_S)
 
-    def _record_end(
-        self, predecessor: CoordinatorRow, end: PredecessorEnd
+    async def _prove_end(
+        self, row: CoordinatorRow, end: PredecessorEnd
     ) -> None:
-        self.leadership.limit_predecessor(end.over_at)
-        self.log.emit(
-            Event.PREDECESSOR_OVER,
-            coordinator=predecessor.host,
-            term=predecessor.term,
-            promises=len(end.promised_runs),
-            witnesses=len(end.witnesses),
-            in_s=round(end.over_at - lease_clock(), 3),
+        """Ask one coordinator and its witnesses."""
+        previous_over_at = end.over_at
+        await asyncio.gather(
+            self._ask_coordinator(row, end),
+            *(
+                self._ask_witness(witness, row.term, end)
+                for witness in end.witnesses
+                if witness.run not in end.promised_runs
+            ),
         )
+        if end.over_at < previous_over_at:
+            self.log.emit(
+                Event.PREDECESSOR_OVER,
+                coordinator=row.host,
+                term=row.term,
+                promises=len(end.promised_runs),
+                witnesses=len(end.witnesses),
+                in_s=round(end.over_at - lease_clock(), 3),
+            )
 
-    async def _ask_predecessor(
+    async def _ask_coordinator(
         self,
-        predecessor: CoordinatorRow,
+        row: CoordinatorRow,
         end: PredecessorEnd,
     ) -> None:
-        """Record proof if its host has restarted or ended the term."""
+        """Record proof if its host has restarted or ended the term.
+
+        A host whose takeover is not answered yet promises not to begin it.
+        """
         try:
-            answer = await ask(predecessor.address, {'kind': 'ask'})
+            answer = await ask(
+                row.address, {'kind': 'promise', 'term': row.term}
+            )
         except PeerError:
-            # The predecessor may be partitioned and still act: no proof.
+            # The coordinator may be partitioned and still act: no proof.
             return
-        is_same_run = answer.get('nonce') == predecessor.nonce
-        if not is_same_run or answer.get('leads') != predecessor.term:
+        is_same_run = answer.get('nonce') == row.nonce
+        if not is_same_run or answer.get('leads') != row.term:
             end.record_proven_end(lease_clock())
 
     async def _ask_witness(
@@ -105,7 +117,7 @@
             )
         except PeerError:
             # The witness may be partitioned and still acknowledge the
-            # predecessor: no proof.
+            # coordinator: no proof.
             return
         promised = answer.get('promised')
         end.record_answer(
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -22,9 +22,10 @@
     LinkError,
     LinkPool,
 )
+from oriolearch.clock import lease_clock
 from oriolearch.core.directory import Incarnation
 from oriolearch.core.errors import PeerError, ValidationError
-from oriolearch.core.witnesses import SHORT_AUTHORITY_S
+from oriolearch.core.witnesses import LONG_AUTHORITY_S, SHORT_AUTHORITY_S
 from oriolearch.leadership import Leadership
 from oriolearch.platform.daemon import HostDaemon
 from oriolearch.platform.settings import load_settings, read_settings
@@ -39,6 +40,7 @@
 KEYS = tuple(range(0, 65536, 4099))
 CONFIG = make_document(7, [make_rule('order', 'unsafe', 1.2)])
 CONFIG_IN_FORCE_S = 2.0  # bound of the platform for a new configuration
+PREDECESSOR_ANSWER_S = 1.5
 CALLER_CONNECT_S = 1.0  # connect timeout of callers
 LAST_ITERATIONS = 3  # of the event loop, from an accept to a running task
 
@@ -308,6 +310,15 @@
     run_scenario(scenario, hosts=3)
 
 
+async def wait_for_witnesses(installation: Installation) -> None:
+    """Wait until two witnesses acknowledge the coordinator."""
+    leadership = coordinator_host(installation).coordination.leadership
+    assert leadership is not None
+    async with asyncio.timeout(5):
+        while len(leadership.authority.acknowledged_at) < 2:
+            await asyncio.sleep(0.05)
+
+
 def test_coordinator_and_server_are_lost_for_good() -> None:
     """Guard against a late move of keys when a server dies as well.
 
@@ -316,11 +327,7 @@
     """
 
     async def scenario(installation: Installation) -> None:
-        leadership = coordinator_host(installation).coordination.leadership
-        assert leadership is not None
-        async with asyncio.timeout(5):
-            while len(leadership.authority.acknowledged_at) < 2:
-                await asyncio.sleep(0.05)
+        await wait_for_witnesses(installation)
         dead = installation.servers[0]
         dead.stop()
         installation.store.remove('servers', dead.name)
@@ -331,33 +338,82 @@
     run_scenario(scenario, hosts=4)
 
 
-def test_takeover_without_an_answer_respects_its_predecessor() -> None:
+async def wait_for_coordinator(installation: Installation) -> HostDaemon:
+    """Wait until a host coordinates, and return it."""
+    async with asyncio.timeout(9):
+        while not any(
+            host.coordination.leadership for host in installation.hosts
+        ):
+            await asyncio.sleep(0)
+    return coordinator_host(installation)
+
+
+@pytest.mark.parametrize('outage_s', [0.0, 0.6])
+def test_takeover_without_an_answer_respects_its_predecessor(
+    outage_s: float,
+) -> None:
     """Guard against moving keys while the predecessor may still act.
 
     The answer to the takeover is lost. The successor reads its own row again
-    and must not treat its term as one without a predecessor.
+    and must not treat its term as one without a predecessor. In an outage it
+    cannot read, and takes over from its own term that never began.
     """
 
     async def scenario(installation: Installation) -> None:
         coordinator = coordinator_host(installation)
         old_term = coordinator.coordination.leadership
         assert old_term is not None
-        installation.store.lost_writes = 1
+        store = installation.store
+        store.lost_writes = 1
         installation.kill(coordinator)
         async with asyncio.timeout(5):
-            while not any(
-                host.coordination.leadership for host in installation.hosts
-            ):
-                await asyncio.sleep(0.01)
+            while store.lost_writes:
+                await asyncio.sleep(0)
+        store.is_closing = outage_s > 0
+        await asyncio.sleep(outage_s)
+        store.is_closing = False
+        await wait_for_coordinator(installation)
         leadership = coordinator_host(installation).coordination.leadership
         assert leadership is not None
         assert leadership.row.term > old_term.row.term
+        # By then a predecessor that has ended has answered.
+        await asyncio.sleep(PREDECESSOR_ANSWER_S)
         predecessor_s = leadership.predecessor_end_at - leadership.began_at
         assert predecessor_s >= SHORT_AUTHORITY_S - 0.1
 
     run_scenario(scenario, hosts=2)
 
 
+def test_second_takeover_respects_the_coordinator_before_the_first() -> None:
+    """Guard against moving keys while the last but one coordinator may act.
+
+    A host that has just taken over is killed and restarts. That it has ended
+    proves nothing about its own predecessor, which may be cut off and go on
+    granting keys.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        await wait_for_witnesses(installation)
+        installation.kill(coordinator_host(installation))
+        second = await wait_for_coordinator(installation)
+        second_term = second.coordination.leadership
+        assert second_term is not None
+        installation.kill(second)
+        restarted = HostDaemon(second.settings)
+        await restarted.start()
+        installation.hosts.append(restarted)
+        third = await wait_for_coordinator(installation)
+        third_term = third.coordination.leadership
+        assert third_term is not None
+        async with asyncio.timeout(LONG_AUTHORITY_S / 2):
+            while lease_clock() < third_term.predecessor_end_at:
+                await asyncio.sleep(0.01)
+        after_s = lease_clock() - second_term.began_at
+        assert after_s >= SHORT_AUTHORITY_S
+
+    run_scenario(scenario, hosts=3)
+
+
 def test_small_coordinator_yields_to_a_large_host() -> None:
     """Guard against a small host that keeps the coordinator's load.
 
--- a/tests/test_witnesses.py
+++ b/tests/test_witnesses.py
@@ -9,6 +9,7 @@
     LONG_AUTHORITY_S,
     SHORT_AUTHORITY_S,
     Authority,
+    EarlierTerms,
     PredecessorEnd,
     Promise,
     Witness,
@@ -131,12 +132,16 @@
 )
 def test_row_of_another_term_names_no_witnesses(row: bytes | None) -> None:
     """Fails if hosts count that did not acknowledge the predecessor."""
-    assert decode_witnesses(row, 4) == ()
+    assert decode_witnesses(row).of_term(4) == ()
 
 
 def test_row_is_read_as_it_was_written() -> None:
     """Fails if a successor reads other witnesses than were written."""
-    assert decode_witnesses(WitnessRow(4, GROUP).encode(), 4) == GROUP
+    row = WitnessRow(4, GROUP, is_settled=False, earlier={3: (A, D), 2: ()})
+    assert decode_witnesses(row.encode()) == row
+    assert row.of_term(4) == GROUP
+    assert row.of_term(3) == (A, D)
+    assert row.of_term(1) == ()
 
 
 def test_witnesses_are_kept_and_of_different_zones() -> None:
@@ -228,3 +233,123 @@
             if takeover.end is not None:
                 early_ends += takeover.authority.ends_at() > tick / 10
     assert early_ends
+
+
+@pytest.mark.parametrize(
+    ('terms', 'row', 'pending', 'has_others'),
+    [
+        ((5,), WitnessRow(5, GROUP, is_settled=True), {5: GROUP}, False),
+        ((5, 4, 3), WitnessRow(5, GROUP, is_settled=True), {5: GROUP}, False),
+        (
+            (5, 4),
+            WitnessRow(4, GROUP, is_settled=True),
+            {5: (), 4: GROUP},
+            False,
+        ),
+        (
+            (5, 4, 3),
+            WitnessRow(5, GROUP, earlier={4: (A, D)}),
+            {5: GROUP, 4: (A, D), 3: ()},
+            True,
+        ),
+        ((5,), WitnessRow(4, GROUP, is_settled=True), {5: ()}, True),
+        ((5, 4), WitnessRow(0), {5: (), 4: ()}, True),
+        ((2, 1), WitnessRow(1, GROUP), {2: (), 1: GROUP}, False),
+    ],
+    ids=[
+        'settled',
+        'older-terms-over',
+        'no-row-of-the-last',
+        'not-settled',
+        'unknown-term',
+        'no-row',
+        'from-the-first',
+    ],
+)
+def test_terms_that_may_not_be_over(
+    terms: tuple[int, ...],
+    row: WitnessRow,
+    pending: dict[int, tuple[Witness, ...]],
+    has_others: bool,
+) -> None:
+    """Fails if a term before the predecessor's is forgotten."""
+    earlier = EarlierTerms(terms, row, took_over_at=10.0)
+    assert {
+        term: end.witnesses for term, end in earlier.ends.items()
+    } == pending
+    for end in earlier.ends.values():
+        end.record_proven_end(11.0)
+    wait_s = LONG_AUTHORITY_S if has_others else 1.0
+    assert earlier.over_at == pytest.approx(10 + wait_s)
+
+
+class RandomSecondTakeover(RandomTakeover):
+    """A successor that is lost soon, and a second one.
+
+    The first one may have stored its own witnesses, and that it knows the
+    predecessor's term to be over. The second one learns at once that the first
+    one has ended.
+    """
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        self.lost_at = self.took_over_at + self.rng.uniform(0, 4)
+        self.row: WitnessRow | None = None
+        self.earlier: EarlierTerms | None = None
+
+    def act_as_successor(self, now: float) -> None:
+        if now >= self.lost_at:
+            self.act_as_second_successor(now)
+            return
+        super().act_as_successor(now)
+        assert self.end is not None
+        if self.row is None or self.happens(0.1):
+            is_settled = now >= self.end.over_at
+            group = self.end.witnesses
+            self.row = WitnessRow(TERM, group, is_settled=True)
+            if self.happens(0.5):
+                self.row = WitnessRow(
+                    TERM + 1,
+                    tuple(self.rng.sample(self.hosts, 3)),
+                    is_settled,
+                    {} if is_settled else {TERM: group},
+                )
+
+    def act_as_second_successor(self, now: float) -> None:
+        if self.earlier is None:
+            row = self.row or WitnessRow(TERM, self.stored, is_settled=True)
+            self.earlier = EarlierTerms((TERM + 1, TERM), row, now)
+            self.earlier.ends[TERM + 1].record_proven_end(now)
+        end = self.earlier.ends.get(TERM)
+        asked = self.rng.choice(self.hosts)
+        if end is not None and self.happens(0.3):
+            self.promises[asked].refuse_up_to(TERM)
+            if asked in end.witnesses and self.happens(0.7):
+                term = self.promises[asked].term
+                end.record_answer(now, asked, asked.run, term, TERM)
+
+
+@pytest.mark.parametrize('seed', range(300))
+def test_second_successor_never_assumes_the_end_too_early(seed: int) -> None:
+    """Fails if a coordinator may act after the loss of its successor."""
+    takeover = RandomSecondTakeover(seed)
+    for tick in range(250):
+        now = tick / 10
+        takeover.step(now)
+        if takeover.earlier is not None and now >= takeover.earlier.over_at:
+            assert takeover.authority.ends_at() <= now + ROUNDING_S
+
+
+def test_random_second_takeovers_detect_a_forgotten_term() -> None:
+    """Fails if the random test cannot detect a term that is left out."""
+    early_ends = 0
+    for seed in range(100):
+        takeover = RandomSecondTakeover(seed)
+        for tick in range(250):
+            now = tick / 10
+            takeover.step(now)
+            if takeover.earlier is not None:
+                takeover.earlier.ends.pop(TERM, None)
+                if now >= takeover.earlier.over_at:
+                    early_ends += takeover.authority.ends_at() > now
+    assert early_ends
