Take keys from upstreams that have become slow

Causes, each with a test that fails before: - only answers in time counted for an upstream's service time, so a slow one looked as fast as before (an expected answer in 0.25 s, requests ran into their deadline after 1.2 s); - each host reported the service times of every upstream that it had ever dispatched, and the last report counted; - weights were relative to the mean service time, which slow upstreams raise; - a range with a call in flight was not moved, and at slow upstreams one nearly always is.

Change: unserved requests and a present silence count, reports come from the dispatching host, weights follow the speed (0.1 to 2.5 of the mean), a move planned during a renewal begins after it.

--- a/src/oriolearch/core/balance.py
+++ b/src/oriolearch/core/balance.py
@@ -29,6 +29,8 @@
 RANGES_PER_UPSTREAM = 3
 MAX_MERGES_PER_PLAN = 8  # in addition to the moves for balance
 COLD_WEIGHT_FACTOR = 0.3  # for the weight of an upstream in its cold start
+MIN_WEIGHT = 0.1  # of an upstream, as a multiple of the mean speed
+MAX_WEIGHT = 2.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,6 +145,22 @@
         )
 
 
+def weigh_speeds(service_times: Mapping[str, float]) -> dict[str, float]:
+    """Return the speeds of upstreams, as multiples of the mean speed.
+
+    :param service_times: service times in seconds by upstream; those of 0 are
+        left out.
+    """
+    speeds = {
+        name: 1 / time_s for name, time_s in service_times.items() if time_s > 0
+    }
+    mean = sum(speeds.values()) / max(len(speeds), 1)
+    return {
+        name: min(max(speed / mean, MIN_WEIGHT), MAX_WEIGHT)
+        for name, speed in speeds.items()
+    }
+
+
 def plan_evacuation(
     ranges: Iterable[KeyRange],
     candidates: Sequence[OwnerCandidate],
@@ -291,7 +309,7 @@
             if (
                 keys.owner in load_shares.weights
                 and keys.is_held
-                and not keys.call
+                and keys.planned is None
             ):
                 span = Span(keys.first, keys.last)
                 self.movable.setdefault(keys.owner, []).append(span)
--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -140,6 +140,10 @@
             self.recent.popleft()
         return len(self.recent)
 
+    def had_recent_requests(self, now: float) -> bool:
+        """Return whether it had requests in the last second."""
+        return bool(self.running or self.count_recent(now))
+
     def update_cold(self, now: float, cold_until: float) -> None:
         """Update the end of its cold start, which may be a new one."""
         if cold_until > self.cold_until:
@@ -147,19 +151,40 @@
                 self.cold_refilled_at = 0.0
             self.cold_until = cold_until
 
+    def service_share_s(self, took_s: float) -> float:
+        """Return the part of a request's time that it was not queued."""
+        excess = max(len(self.running) - self.entry.slots, 0)
+        return took_s / (1 + excess / self.entry.slots)
+
+    def update_service_time(self, service_s: float) -> None:
+        """Include the service time of one request in the mean."""
+        self.service_time_s += (
+            service_s - self.service_time_s
+        ) * SERVICE_TIME_WEIGHT
+
     def other_load(self, now: float) -> int:
         """Return the reported load that was assigned elsewhere."""
         if now - self.reported_at > LOAD_REPORT_MAX_AGE_S:
             return 0
         return max(self.reported_load - self.own_load_at_report, 0)
 
-    def is_silent(self, now: float) -> bool:
-        """Return whether an answer is long overdue."""
+    def silence_s(self, now: float) -> float:
+        """Return for how long running requests have had no answer."""
         if not self.running:
-            return False
+            return 0.0
         oldest = next(iter(self.running)).assigned_at
+        return now - max(oldest, self.last_contact_at)
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether an answer is long overdue."""
         limit_s = max(SILENT_SERVICE_TIMES * self.service_time_s, MIN_SILENCE_S)
-        return now - max(oldest, self.last_contact_at) > limit_s
+        return self.silence_s(now) > limit_s
+
+    def apparent_service_time_s(self, now: float) -> float:
+        """Return the service time as far as the present silence shows it."""
+        if self.is_silent(now):
+            return max(self.service_time_s, self.silence_s(now))
+        return self.service_time_s
 
     def free_capacity(self, now: float) -> int:
         """Return the number of requests that it may get now."""
@@ -362,15 +387,33 @@
         """Record an answer to a request that the upstream has run."""
         upstream.failures = 0
         upstream.last_contact_at = now
-        excess = max(len(upstream.running) - upstream.entry.slots, 0)
-        service_s = took_s / (1 + excess / upstream.entry.slots)
-        upstream.service_time_s += (
-            service_s - upstream.service_time_s
-        ) * SERVICE_TIME_WEIGHT
+        service_s = upstream.service_share_s(took_s)
+        upstream.update_service_time(service_s)
         self.service_time_s += (
             service_s - self.service_time_s
         ) * SERVICE_TIME_WEIGHT
 
+    def record_unserved(self, upstream: UpstreamState, waited_s: float) -> None:
+        """Record a request that the upstream had for some time, in vain.
+
+        Its service time is longer than that. Answers in time alone would show
+        an upstream that has become slow as fast as before.
+        """
+        service_s = upstream.service_share_s(waited_s)
+        if service_s > upstream.service_time_s:
+            upstream.update_service_time(service_s)
+
+    def recent_service_times(self, now: float) -> dict[str, float]:
+        """Return the service times of upstreams that had recent requests.
+
+        Another host may dispatch the others by now, and knows better.
+        """
+        return {
+            ref.text(): round(upstream.apparent_service_time_s(now), 4)
+            for ref, upstream in self.upstreams.items()
+            if upstream.last_contact_at and upstream.had_recent_requests(now)
+        }
+
     def record_load(
         self, now: float, upstream: UpstreamState, reported_load: int
     ) -> None:
--- a/src/oriolearch/core/ownership.py
+++ b/src/oriolearch/core/ownership.py
@@ -176,7 +176,8 @@
         self.renew_s = renew_s
         self.upstreams: Mapping[Incarnation, UpstreamEntry] = {}
         self.ended: set[Incarnation] = set()
-        self.calls: dict[int, KeyRange] = {}
+        # Several ranges when a range was split during its call.
+        self.calls: dict[int, list[KeyRange]] = {}
         self.unresponsive_since: dict[Incarnation, float] = {}
         self.probe_at: dict[Incarnation, float] = {}
         self.open_calls: dict[Incarnation, int] = {}
@@ -239,14 +240,16 @@
     ) -> bool:
         """Plan a move of keys to another owner.
 
-        Keys that the previous owner may still hold a lease for, or for which
-        a call is in flight, are not moved.
+        Keys that the previous owner may still hold a lease for, or that are
+        being released or granted for the first time, are not moved. A move
+        that is planned during a renewal begins after it: renewals at a slow
+        upstream, which has to lose keys, are almost always in flight.
 
         :return: whether the move was planned.
         """
         keys = self.find(first)
         is_moving = keys.previous is not None and not keys.is_held
-        if keys.planned is not None or keys.call:
+        if keys.planned is not None or (keys.call and not keys.is_held):
             return False
         if is_moving and now < keys.free_at:
             return False
@@ -343,9 +346,10 @@
         self, now: float, call: int, sent_at: float
     ) -> None:
         """Record that the upstream confirmed a grant."""
-        keys = self._end_call(call)
-        if keys is None:
-            return
+        for keys in self._end_call(call):
+            self._confirm(now, keys, sent_at)
+
+    def _confirm(self, now: float, keys: KeyRange, sent_at: float) -> None:
         keys.due_at = sent_at + self.renew_s
         # The upstream refuses grants of a predecessor from now on.
         keys.predecessor_lease_until = 0.0
@@ -362,8 +366,7 @@
 
     def record_fence_refusal(self, now: float, call: int) -> None:
         """Record that a higher fencing token made the upstream refuse."""
-        keys = self._end_call(call)
-        if keys is not None:
+        for keys in self._end_call(call):
             keys.fence = self.allocate_fence()
             keys.due_at = now
             self._require_store(now, keys)
@@ -372,8 +375,7 @@
         self, now: float, call: int, transfer_token: str | None
     ) -> None:
         """Record a release: no request for the keys runs any more."""
-        keys = self._end_call(call)
-        if keys is not None:
+        for keys in self._end_call(call):
             keys.transfer_token = transfer_token
             keys.free_at = min(
                 keys.free_at, max(now, keys.release_effective_at)
@@ -382,15 +384,13 @@
 
     def record_unsent_call(self, now: float, call: int) -> None:
         """Record that a call did not reach the upstream."""
-        keys = self._end_call(call)
-        if keys is not None:
+        for keys in self._end_call(call):
             keys.due_at = now + RETRY_S
             keys.sent_lease_until = keys.prior_lease_until
 
     def record_unanswered_call(self, now: float, call: int) -> None:
         """Record a call without an answer; it may still take effect."""
-        keys = self._end_call(call)
-        if keys is not None:
+        for keys in self._end_call(call):
             keys.due_at = now + RETRY_S
             keys.unanswered_lease_until = keys.sent_lease_until
 
@@ -399,8 +399,7 @@
     ) -> None:
         """Record that another upstream answers at the same address."""
         self.ended.add(upstream)
-        keys = self._end_call(call)
-        if keys is not None:
+        for keys in self._end_call(call):
             keys.due_at = now
 
     def record_no_answer(self, now: float, upstream: Incarnation) -> None:
@@ -541,15 +540,15 @@
         self.open_calls[upstream] = open_calls + 1
         self.call_count += 1
         keys.call = self.call_count
-        self.calls[keys.call] = keys
+        self.calls[keys.call] = [keys]
         return keys.call
 
-    def _end_call(self, call: int) -> KeyRange | None:
-        keys = self.calls.pop(call, None)
-        if keys is None or keys.call != call:
-            return None
-        keys.call = 0
-        return keys
+    def _end_call(self, call: int) -> list[KeyRange]:
+        """Return the ranges that the call was for, if it is in flight."""
+        ranges = self.calls.pop(call, [])
+        for keys in ranges:
+            keys.call = 0
+        return ranges
 
     def record_call_end(self, upstream: Incarnation) -> None:
         """Record the end of a call, with any outcome."""
@@ -571,6 +570,9 @@
         index = self.ranges.index(keys)
         pieces = [replace(keys, first=start, last=end) for start, end in parts]
         self.ranges[index : index + 1] = pieces
+        if keys.call:
+            self.calls[keys.call].remove(keys)
+            self.calls[keys.call].extend(pieces)
         return next(piece for piece in pieces if piece.first == first)
 
 
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -341,7 +341,7 @@
     KEYS_MOVED = EventKind(
         436,
         logging.INFO,
-        ('pool', 'first', 'last', 'owner', 'fence', 'cause'),
+        ('pool', 'first', 'last', 'owner', 'previous', 'fence', 'cause'),
         'Keys are moved to another owner.',
     )
     GRANT_FAILED = EventKind(
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -230,14 +230,11 @@
     def service_times(self) -> dict[str, dict[str, float]]:
         """Return the mean service times of keyed upstreams, by pool.
 
-        Upstreams that have not answered this host yet are left out.
+        Those that this host does not dispatch, or no longer, are left out.
         """
+        now = loop_clock()
         return {
-            pool: {
-                upstream.entry.ref.text(): round(upstream.service_time_s, 4)
-                for upstream in dispatcher.upstreams.values()
-                if upstream.last_contact_at
-            }
+            pool: dispatcher.recent_service_times(now)
             for pool, dispatcher in self.local_dispatch.dispatchers.items()
             if dispatcher.plan.is_keyed
         }
@@ -571,7 +568,8 @@
                 job.carriers,
             )
         except LinkError as error:
-            return None, self._record_failure(job, entry, error)
+            waited_s = loop_clock() - started
+            return None, self._record_failure(job, entry, error, waited_s)
         return self._process_answer(job, entry, answer, loop_clock() - started)
 
     def _entry_of(
@@ -588,6 +586,7 @@
         job: _ForwardedRequest,
         entry: UpstreamEntry,
         error: LinkError,
+        waited_s: float,
     ) -> AttemptResult:
         job.last_failure = error.reason
         is_late = loop_clock() >= job.deadline
@@ -606,6 +605,7 @@
             job.is_expired = True
         return AttemptResult(
             EndKind.OTHER if is_late else EndKind.FAILED,
+            latency_s=waited_s if error.was_sent else 0.0,
             is_alive=error.is_alive,
         )
 
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -32,6 +32,7 @@
     plan_balance,
     plan_evacuation,
     plan_merge,
+    weigh_speeds,
 )
 from oriolearch.core.directory import Incarnation, UpstreamEntry
 from oriolearch.core.errors import (
@@ -85,8 +86,6 @@
 READ_RETRY_S = 0.2  # after a failed read at the start of a term
 # Other hosts may replace a coordinator whose writes fail for this long.
 STUCK_AFTER_S = 2.0
-MIN_WEIGHT = 0.25  # of an upstream, as a multiple of the mean
-MAX_WEIGHT = 2.5
 
 _LN_2 = math.log(2)
 # Longest time from the sending of a grant to the expiry of its lease.
@@ -526,13 +525,15 @@
         cause: str,
     ) -> None:
         if ownership.plan_move(now, move.first, move.last, move.owner):
+            keys = ownership.find(move.first)
             self.log.emit(
                 Event.KEYS_MOVED,
                 pool=pool,
                 first=move.first,
                 last=move.last,
                 owner=move.owner.text(),
-                fence=ownership.find(move.first).fence,
+                previous=keys.owner.text() if keys.owner else None,
+                fence=keys.fence,
                 cause=cause,
             )
 
@@ -544,17 +545,12 @@
         usable: dict[Incarnation, UpstreamEntry] = (
             self.registry.usable_upstreams(pool)
         )
-        service_times = self._service_times_of(pool, usable)
-        mean_s = (
-            sum(service_times.values()) / len(service_times)
-            if service_times
-            else 0.0
-        )
+        weights = weigh_speeds(self._service_times_of(pool, usable))
         candidates = []
         for ref in sorted(usable):
             if ownership.is_lost(lease_now, ref):
                 continue
-            weight = _weight(mean_s, service_times.get(ref.text()))
+            weight = weights.get(ref.text(), 1.0)
             if self.registry.is_cold(now, ref):
                 weight *= COLD_WEIGHT_FACTOR
             candidates.append(OwnerCandidate(ref, weight))
@@ -662,10 +658,3 @@
             'grants': self.has_authority(),
             'store_lost': self.members.is_store_lost,
         }
-
-
-def _weight(mean_s: float, service_time_s: float | None) -> float:
-    """Return the speed of an upstream, as a multiple of the mean."""
-    if not service_time_s:
-        return 1.0
-    return min(max(mean_s / service_time_s, MIN_WEIGHT), MAX_WEIGHT)
--- a/src/oriolearch/placing.py
+++ b/src/oriolearch/placing.py
@@ -71,7 +71,8 @@
 class AttemptResult:
     """Result of an attempt, with what the upstream reported.
 
-    :param latency_s: time from the request to its answer, in seconds.
+    :param latency_s: time from the request to its answer, or until it was
+        given up, in seconds; 0 if the upstream did not get it.
     :param load: running and queued requests that the upstream reported.
     :param cold_for_s: remaining cold start that it reported, in seconds.
     :param is_alive: whether the upstream answered, or closed or reset the
@@ -179,7 +180,9 @@
             dispatcher.record_answer(now, upstream, result.latency_s)
         elif result.kind is EndKind.SHED:
             dispatcher.record_shed(now, upstream, result.load)
-        elif result.kind is EndKind.FAILED:
+        else:
+            dispatcher.record_unserved(upstream, result.latency_s)
+        if result.kind is EndKind.FAILED:
             dispatcher.record_failure(now, upstream, is_alive=result.is_alive)
 
     def _assign_queued(self, dispatcher: Dispatcher) -> None:
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -200,6 +200,63 @@
     assert request.retry_after_s is not None
 
 
+def test_upstream_that_turned_slow_is_seen_as_slow() -> None:
+    """Fails if only answers in time count for the service time.
+
+    Load pattern: nine of 23 servers take ten times as long for eight seconds.
+    Nearly all of their requests ended at their deadline, and the few answers
+    in time showed them as fast as before, so that they kept their keys.
+    """
+    dispatcher = make_dispatcher(entry(A))
+    upstream = dispatcher.upstreams[A]
+    for number in range(8):
+        now = float(number)
+        request = make_request(deadline=now + 1.2)
+        dispatcher.submit(now, request)
+        dispatcher.record_unserved(upstream, 1.2)
+        dispatcher.release(request)
+    assert upstream.service_time_s > 5 * dispatching.INITIAL_SERVICE_TIME_S
+
+
+@pytest.mark.parametrize('waited_s', [0.0, 0.01])
+def test_requests_that_fail_at_once_do_not_count_as_fast(
+    waited_s: float,
+) -> None:
+    """Fails if an upstream that fails at once attracts keys as a fast one."""
+    dispatcher = make_dispatcher(entry(A))
+    upstream = dispatcher.upstreams[A]
+    dispatcher.record_unserved(upstream, waited_s)
+    assert upstream.service_time_s == dispatching.INITIAL_SERVICE_TIME_S
+
+
+def test_silence_counts_before_it_ends() -> None:
+    """Fails if a silent upstream keeps its keys until a request times out."""
+    dispatcher = make_dispatcher(entry(A))
+    upstream = dispatcher.upstreams[A]
+    dispatcher.submit(0.0, make_request())
+    dispatcher.record_answer(0.05, upstream, 0.05)
+    service_s = upstream.service_time_s
+    assert upstream.apparent_service_time_s(0.3) == service_s
+    now = 0.05 + MIN_SILENCE_S * 1.5
+    assert upstream.apparent_service_time_s(now) == pytest.approx(now - 0.05)
+
+
+def test_only_the_dispatching_host_reports_service_times() -> None:
+    """Fails if a host reports what it knew before another took over.
+
+    The coordinator balances by these times. Each host reported every upstream
+    that it had ever dispatched, and the last report counted.
+    """
+    dispatcher = make_dispatcher(entry(A), entry(B))
+    requests = {ref: make_request(ref) for ref in (A, B)}
+    for ref, request in requests.items():
+        dispatcher.submit(0.0, request)
+        dispatcher.record_answer(0.1, dispatcher.upstreams[ref], 0.1)
+    assert set(dispatcher.recent_service_times(0.1)) == {A.text(), B.text()}
+    dispatcher.release(requests[A])
+    assert set(dispatcher.recent_service_times(3.0)) == {B.text()}
+
+
 def test_waiting_requests_are_refused_once_the_upstream_is_silent() -> None:
     """Fails if requests stay queued for an upstream that fell silent."""
     dispatcher = make_dispatcher(entry(A))
--- a/tests/test_key_ownership.py
+++ b/tests/test_key_ownership.py
@@ -1,5 +1,6 @@
 """Ownership of keys by fenced leases, without network or clock."""
 
+import random
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -15,6 +16,7 @@
     plan_balance,
     plan_evacuation,
     plan_merge,
+    weigh_speeds,
 )
 from oriolearch.core.directory import KEY_COUNT, Incarnation, UpstreamEntry
 from oriolearch.core.keyranges import OwnedRange, OwnerMap
@@ -40,6 +42,7 @@
 RENEW_S = 0.6
 LONGEST_LEASE_S = CALL_TIMEOUT_S + LEASE_S * CLOCK_RATE_FACTOR + CLOCK_MARGIN_S
 A, B, C = (Incarnation(name, 1) for name in 'abc')
+SAMPLED_KEYS = range(0, KEY_COUNT, 1000)
 
 
 def entry(ref: Incarnation) -> UpstreamEntry:
@@ -160,6 +163,140 @@
     assert fleet.owner(100) == A
 
 
+def end_renewal(fleet: Fleet, grant: Grant, end: str) -> None:
+    """End a grant in flight."""
+    if end == 'confirmed':
+        fleet.answer(grant)
+        return
+    ref = grant.upstream.ref
+    if end == 'unanswered':
+        # The upstream applies it, but its answer is lost.
+        for key in (grant.first, grant.last):
+            until = fleet.now + LEASE_S * CLOCK_RATE_FACTOR
+            fleet.lease_ends[ref, key] = until
+        fleet.ownership.record_unanswered_call(fleet.now, grant.call)
+    else:
+        fleet.ownership.record_unsent_call(fleet.now, grant.call)
+    fleet.ownership.record_call_end(ref)
+
+
+@pytest.mark.parametrize('end', ['confirmed', 'unanswered', 'unsent'])
+@pytest.mark.parametrize(
+    ('first', 'last'), [(0, KEY_COUNT - 1), (100, 200), (0, 200)]
+)
+def test_keys_move_after_the_renewal_in_flight(
+    end: str, first: int, last: int
+) -> None:
+    """Fails if keys cannot leave an upstream that is slow to confirm grants.
+
+    Load pattern: a slow server takes half a second for a grant, and each is
+    renewed every 0.6 s. Its keys could be moved only between two calls.
+    """
+    fleet = make_running_fleet(A)
+    fleet.now = fleet.ownership.ranges[0].due_at
+    renewal = fleet.ownership.step(fleet.now)[0]
+    assert isinstance(renewal, Grant)
+    assert fleet.ownership.plan_move(fleet.now, first, last, B)
+    for effect in fleet.ownership.step(fleet.now):
+        assert isinstance(effect, Store)
+        fleet.execute(effect)
+    assert not fleet.ownership.step(fleet.now + 0.1)
+    fleet.now += 0.2
+    end_renewal(fleet, renewal, end)
+    fleet.run(2 * LONGEST_LEASE_S)
+    assert fleet.owner(first) == fleet.owner(last) == B
+    assert not fleet.ownership.calls
+    rest = {0, KEY_COUNT - 1} - set(range(first, last + 1))
+    assert {fleet.owner(key) for key in rest} <= {A}
+
+
+class SlowFleet(Fleet):
+    """Upstreams that answer calls late, or apply them and never answer.
+
+    :ivar pending: calls with the time of their arrival, of their effect and
+        of their answer; an unanswered one has its effect later than the
+        coordinator gives it up.
+    """
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(make_even_ranges([A, B, C]))
+        self.rng = random.Random(seed)
+        self.pending: list[tuple[float, float, Grant | Release]] = []
+        self.late: list[tuple[float, float, Grant]] = []
+
+    def step(self) -> None:
+        if self.happens(0.1):
+            first = self.rng.choice(SAMPLED_KEYS)
+            last = min(first + self.rng.choice([0, 5000]), KEY_COUNT - 1)
+            owner = self.rng.choice([A, B, C])
+            self.ownership.plan_move(self.now, first, last, owner)
+        self.ownership.merge()
+        for effect in self.ownership.step(self.now):
+            if isinstance(effect, Grant | Release):
+                due = self.now + self.rng.uniform(0, CALL_TIMEOUT_S)
+                self.pending.append((self.now, due, effect))
+            else:
+                self.execute(effect)
+        self.end_calls()
+        self.now += 0.02
+
+    def happens(self, share: float) -> bool:
+        return self.rng.random() < share
+
+    def end_calls(self) -> None:
+        for call in list(self.pending):
+            sent_at, due, effect = call
+            if due > self.now:
+                continue
+            self.pending.remove(call)
+            if isinstance(effect, Grant) and self.happens(0.1):
+                applied_at = self.now + self.rng.uniform(0, 2)
+                self.late.append((sent_at, applied_at, effect))
+                ref = effect.upstream.ref
+                self.ownership.record_unanswered_call(self.now, effect.call)
+                self.ownership.record_call_end(ref)
+            else:
+                self.lease(effect, sent_at)
+                self.answer_call(effect, sent_at)
+        for grant in list(self.late):
+            if grant[1] <= self.now:
+                self.late.remove(grant)
+                self.lease(grant[2], grant[0])
+
+    def lease(self, effect: Grant | Release, arrived_at: float) -> None:
+        """Apply a call; a lease counts from the arrival of its grant."""
+        ref = effect.upstream.ref
+        for key in SAMPLED_KEYS:
+            if not effect.first <= key <= effect.last:
+                continue
+            if isinstance(effect, Release):
+                self.lease_ends.pop((ref, key), None)
+                continue
+            until = arrived_at + LEASE_S * CLOCK_RATE_FACTOR
+            if until > self.now:
+                for other in {A, B, C} - {ref}:
+                    assert self.lease_ends.get((other, key), 0) <= self.now
+                self.lease_ends[ref, key] = until
+
+    def answer_call(self, effect: Grant | Release, sent_at: float) -> None:
+        ownership = self.ownership
+        if isinstance(effect, Grant):
+            ownership.record_confirmation(self.now, effect.call, sent_at)
+        else:
+            ownership.record_release(self.now, effect.call, 'token')
+        ownership.record_call_end(effect.upstream.ref)
+
+
+@pytest.mark.parametrize('seed', range(60))
+def test_keys_never_have_two_owners_while_calls_are_slow(seed: int) -> None:
+    """Fails if a move during a call grants keys that are still leased."""
+    fleet = SlowFleet(seed)
+    for _ in range(1000):
+        fleet.step()
+    planned_moves = fleet.ownership.fence - 100 - 3
+    assert planned_moves > 20
+
+
 def test_fences_rise_with_each_move() -> None:
     """Fails if a new owner's fencing token is not above the last one."""
     fleet = make_running_fleet(A)
@@ -511,6 +648,52 @@
         assert move.last - move.first < KEY_COUNT // 3
 
 
+def test_slow_upstreams_lose_most_of_their_keys_in_one_plan() -> None:
+    """Fails if upstreams that turned slow keep keys that they cannot serve.
+
+    Load pattern: nine of 23 servers take ten times as long. Weighed by the
+    mean service time, which the slow ones raise, fast ones exceed the highest
+    weight and slow ones come out at a fifth of them in place of a tenth.
+    """
+    owners = [Incarnation(f's{number:02}', 1) for number in range(23)]
+    slow = owners[:9]
+    ranges = confirm_all(make_even_ranges(owners))
+    rates = {key: 1.0 for key in range(0, KEY_COUNT, 356)}
+    weights = weigh_speeds(
+        {ref.text(): 1.2 if ref in slow else 0.12 for ref in owners}
+    )
+    candidates = [OwnerCandidate(ref, weights[ref.text()]) for ref in owners]
+    moves = plan_balance(ranges, candidates, KeyRates(rates, 0.2))
+    assert not {move.owner for move in moves} & set(slow)
+    moved = sum(
+        move.first <= key <= move.last for key in rates for move in moves
+    )
+    assert moved > 0.6 * sum(
+        keys.first <= key <= keys.last
+        for key in rates
+        for keys in ranges
+        if keys.owner in slow
+    )
+
+
+@pytest.mark.parametrize(
+    ('service_times', 'weights'),
+    [
+        ({}, {}),
+        ({'a': 0.1, 'b': 0.0}, {'a': 1.0}),
+        ({'a': 0.1, 'b': 0.3}, {'a': 1.5, 'b': 0.5}),
+        ({'a': 0.1, 'b': 9.0}, {'a': 1.98, 'b': 0.1}),
+    ],
+    ids=['none', 'unknown', 'proportional', 'lowest'],
+)
+def test_weights_of_upstreams(
+    service_times: dict[str, float], weights: dict[str, float]
+) -> None:
+    """Fails if keys are not divided by speed, or a slow one gets none."""
+    weighed = weigh_speeds(service_times)
+    assert weighed == pytest.approx(weights, rel=0.02)
+
+
 def test_neighbouring_hot_keys_are_spread_in_one_plan() -> None:
     """Fails if a block of hot keys leaves its owner one part at a time.
 
