Smooth service times that the balance uses; drop the report of a silence

The weights followed each random difference between two reports, and a silence of 0.6 s counted.

Ruled out: the report of a silence as a means of its own.

Change: a report counts a tenth unless it differs by a factor of two.

--- a/src/oriolearch/core/balance.py
+++ b/src/oriolearch/core/balance.py
@@ -29,6 +29,8 @@
 RANGES_PER_UPSTREAM = 3
 MAX_MERGES_PER_PLAN = 8  # in addition to the moves for balance
 COLD_WEIGHT_FACTOR = 0.3  # for the weight of an upstream in its cold start
+REPORT_WEIGHT = 0.1  # of a new report in the mean service time
+STEADY_RATIO = 2.0  # a service time that changes by more has really changed
 MIN_WEIGHT = 0.1  # of an upstream, as a multiple of the mean speed
 MAX_WEIGHT = 2.5
 
@@ -145,6 +147,20 @@
         )
 
 
+def smooth_service_time(previous_s: float | None, reported_s: float) -> float:
+    """Return an upstream's service time after a report, in seconds.
+
+    Most differences between two reports are random. One that is not, as of an
+    upstream that has become slow, counts at once.
+    """
+    if previous_s is None:
+        return reported_s
+    ratio = reported_s / previous_s if previous_s else math.inf
+    if not 1 / STEADY_RATIO < ratio < STEADY_RATIO:
+        return reported_s
+    return previous_s + (reported_s - previous_s) * REPORT_WEIGHT
+
+
 def weigh_speeds(service_times: Mapping[str, float]) -> dict[str, float]:
     """Return the speeds of upstreams, as multiples of the mean speed.
 
--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -168,23 +168,13 @@
             return 0
         return max(self.reported_load - self.own_load_at_report, 0)
 
-    def silence_s(self, now: float) -> float:
-        """Return for how long running requests have had no answer."""
-        if not self.running:
-            return 0.0
-        oldest = next(iter(self.running)).assigned_at
-        return now - max(oldest, self.last_contact_at)
-
     def is_silent(self, now: float) -> bool:
         """Return whether an answer is long overdue."""
+        if not self.running:
+            return False
+        oldest = next(iter(self.running)).assigned_at
         limit_s = max(SILENT_SERVICE_TIMES * self.service_time_s, MIN_SILENCE_S)
-        return self.silence_s(now) > limit_s
-
-    def apparent_service_time_s(self, now: float) -> float:
-        """Return the service time as far as the present silence shows it."""
-        if self.is_silent(now):
-            return max(self.service_time_s, self.silence_s(now))
-        return self.service_time_s
+        return now - max(oldest, self.last_contact_at) > limit_s
 
     def free_capacity(self, now: float) -> int:
         """Return the number of requests that it may get now."""
@@ -409,7 +399,7 @@
         Another host may dispatch the others by now, and knows better.
         """
         return {
-            ref.text(): round(upstream.apparent_service_time_s(now), 4)
+            ref.text(): round(upstream.service_time_s, 4)
             for ref, upstream in self.upstreams.items()
             if upstream.last_contact_at and upstream.had_recent_requests(now)
         }
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -32,6 +32,7 @@
     plan_balance,
     plan_evacuation,
     plan_merge,
+    smooth_service_time,
     weigh_speeds,
 )
 from oriolearch.core.directory import Incarnation, UpstreamEntry
@@ -266,7 +267,9 @@
         self, pool: str, service_times: dict[str, float]
     ) -> None:
         """Update the service times of upstreams, in seconds."""
-        self.service_times.setdefault(pool, {}).update(service_times)
+        known = self.service_times.setdefault(pool, {})
+        for name, reported_s in service_times.items():
+            known[name] = smooth_service_time(known.get(name), reported_s)
 
     def limit_predecessor(self, over_at: float) -> None:
         """Record by when the authority of all predecessors has ended."""
--- a/tests/test_key_ownership.py
+++ b/tests/test_key_ownership.py
@@ -16,9 +16,11 @@
     plan_balance,
     plan_evacuation,
     plan_merge,
+    smooth_service_time,
     weigh_speeds,
 )
 from oriolearch.core.directory import KEY_COUNT, Incarnation, UpstreamEntry
+from oriolearch.core.dispatching import SERVICE_TIME_WEIGHT
 from oriolearch.core.keyranges import OwnedRange, OwnerMap
 from oriolearch.core.ownership import (
     CALL_TIMEOUT_S,
@@ -676,6 +678,55 @@
     )
 
 
+@pytest.mark.parametrize('seed', range(10))
+def test_random_service_times_move_no_keys(seed: int) -> None:
+    """Fails if chance differences between reports move keys.
+
+    Load pattern: a quiet day, 23 upstreams of equal speed with some eight
+    requests a second each, whose times vary by half. Twice as many keys as
+    before changed hands when each report counted as it was.
+    """
+    rng = random.Random(seed)
+    owners = [Incarnation(f's{number:02}', 1) for number in range(23)]
+    ranges = confirm_all(make_even_ranges(owners))
+    rates = KeyRates({key: 1.0 for key in range(0, KEY_COUNT, 356)}, 0.2)
+    means = dict.fromkeys((ref.text() for ref in owners), 0.1)
+    smoothed = dict(means)
+    moves: list[Move] = []
+    for _ in range(100):
+        for name in means:
+            for _ in range(2):  # answers between two reports
+                service_s = 0.1 * rng.lognormvariate(-0.125, 0.5)
+                means[name] += (service_s - means[name]) * SERVICE_TIME_WEIGHT
+            smoothed[name] = smooth_service_time(smoothed[name], means[name])
+        weights = weigh_speeds(smoothed)
+        candidates = [
+            OwnerCandidate(ref, weights[ref.text()]) for ref in owners
+        ]
+        moves += plan_balance(ranges, candidates, rates)
+    assert not moves
+
+
+@pytest.mark.parametrize(
+    ('previous_s', 'reported_s', 'smoothed_s'),
+    [
+        (None, 0.1, 0.1),
+        (0.0, 0.1, 0.1),
+        (0.1, 0.11, 0.101),
+        (0.1, 0.3, 0.3),
+        (0.3, 0.1, 0.1),
+    ],
+    ids=['first', 'unknown', 'steady', 'slowed', 'recovered'],
+)
+def test_service_time_after_a_report(
+    previous_s: float | None, reported_s: float, smoothed_s: float
+) -> None:
+    """Fails if an upstream that has become slow keeps its keys for long."""
+    assert smooth_service_time(previous_s, reported_s) == pytest.approx(
+        smoothed_s
+    )
+
+
 @pytest.mark.parametrize(
     ('service_times', 'weights'),
     [
