Record before which term all coordinators are known to be over

The witnesses' row said only whether all earlier terms were over. A coordinator that had stored its own witnesses and was lost before its predecessors were known to be over left a row that said no more than "not all"; its successor then waited the longest authority (12 s, for keys of silent upstreams) for terms that an earlier row had already settled.

Change: the row names the first term that may not be over, and an unsettled one carries on what the row before it said. New case "settled-up-to-the-last-but-one"; it does not pass with the flag. Logged as over_before in witnesses_chosen.

--- a/src/oriolearch/coordinator_rows.py
+++ b/src/oriolearch/coordinator_rows.py
@@ -23,7 +23,7 @@
 COORDINATOR_ROW = RowName(COORDINATOR_TABLE, 'coordinator')
 COMPRESS_FROM_BYTES = 4096  # smaller rows stay readable
 MAX_UNPACKED_BYTES = 8 * 1024 * 1024  # limits the decompression of a row
-MAX_EARLIER_TERMS = 4  # a successor of more hosts that were lost just waits
+MAX_EARLIER_TERMS = 4  # a successor waits for the end of older ones
 WITNESS_ROW = RowName('oriolearch-witnesses', 'witnesses')
 
 
--- a/src/oriolearch/core/witnesses.py
+++ b/src/oriolearch/core/witnesses.py
@@ -12,8 +12,8 @@
 acknowledgements of both groups.
 
 That a predecessor has ended proves nothing about the coordinators before it,
-which may be cut off and still act. The row therefore says whether all earlier
-terms are over, and names the witnesses of those that may not be.
+which may be cut off and still act. The row therefore says which earlier terms
+are over, and names the witnesses of those that may not be.
 """
 
 import json
@@ -21,6 +21,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+FIRST_TERM = 1
 # Two of three acknowledge a coordinator or promise a successor, so that one
 # may fail.
 WITNESS_COUNT = 3
@@ -49,13 +50,13 @@
     """The row that names the witnesses of a coordinator's term.
 
     :param term: 0 when there is no readable row.
-    :param is_settled: whether all earlier terms are known to be over.
+    :param over_before: all terms before this one are known to be over.
     :param earlier: witnesses of earlier terms that may not be over, by term.
     """
 
     term: int
     witnesses: tuple[Witness, ...] = ()
-    is_settled: bool = False
+    over_before: int = FIRST_TERM
     earlier: Mapping[int, tuple[Witness, ...]] = field(default_factory=dict)
 
     def of_term(self, term: int) -> tuple[Witness, ...]:
@@ -73,7 +74,7 @@
         fields = {
             'term': self.term,
             'witnesses': _encode_group(self.witnesses),
-            'settled': self.is_settled,
+            'over_before': self.over_before,
             'earlier': {
                 str(term): _encode_group(group)
                 for term, group in self.earlier.items()
@@ -85,14 +86,15 @@
 def decode_witnesses(value: bytes | None) -> WitnessRow:
     """Decode the row; an unreadable one has term 0 and names no witnesses.
 
-    Rows of versions that did not record earlier terms count as not settled.
+    Nothing is known of the terms before a row without ``over_before``, which
+    an older version wrote.
     """
     try:
         fields = json.loads(value or b'')
         return WitnessRow(
             int(fields['term']),
             _decode_group(fields['witnesses']),
-            fields.get('settled') is True,
+            int(fields.get('over_before', FIRST_TERM)),
             {
                 int(term): _decode_group(group)
                 for term, group in dict(fields.get('earlier', {})).items()
@@ -258,16 +260,16 @@
     def __init__(
         self, terms: Sequence[int], row: WitnessRow, took_over_at: float
     ) -> None:
-        oldest = row.term if row.is_settled else 1
+        self.over_before = row.over_before
         self.ends = {
             term: PredecessorEnd(row.of_term(term), took_over_at)
             for term in terms
-            if term >= oldest
+            if term >= row.over_before
         }
         # Terms that it does not know of may not be over either.
         self.others_over_at = (
             took_over_at
-            if min(terms) <= oldest
+            if min(terms) <= row.over_before
             else took_over_at + LONG_AUTHORITY_S
         )
 
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -303,7 +303,7 @@
     WITNESSES_CHOSEN = EventKind(
         439,
         logging.INFO,
-        ('term', 'witnesses', 'is_settled', 'row_version'),
+        ('term', 'witnesses', 'over_before', 'row_version'),
         'The witnesses that acknowledge this coordinator changed.',
     )
     COLD_PROBED = EventKind(
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -54,8 +54,10 @@
     make_even_ranges,
 )
 from oriolearch.core.witnesses import (
+    FIRST_TERM,
     LONG_AUTHORITY_S,
     Authority,
+    EarlierTerms,
     Witness,
     WitnessRow,
     choose_witnesses,
@@ -142,8 +144,9 @@
         self.authority = Authority(self.began_at)
         self.witness_version: int | None = None
         self.witnesses: tuple[Witness, ...] = ()
+        self.over_before = FIRST_TERM
+        self.stored_over_before = FIRST_TERM
         self.earlier_witnesses: dict[int, tuple[Witness, ...]] = {}
-        self.is_settlement_stored = False
         self.is_storing_witnesses = False
         self.predecessor_end_at = self.began_at + LONG_AUTHORITY_S
         self.pools: dict[str, KeyOwnership] = {}
@@ -271,6 +274,11 @@
         for name, reported_s in service_times.items():
             known[name] = smooth_service_time(known.get(name), reported_s)
 
+    def record_earlier_terms(self, earlier: EarlierTerms) -> None:
+        """Record the terms that may not be over, for a successor to read."""
+        self.over_before = earlier.over_before
+        self.earlier_witnesses = earlier.witnesses()
+
     def limit_predecessor(self, over_at: float) -> None:
         """Record by when the authority of all predecessors has ended."""
         self.predecessor_end_at = min(self.predecessor_end_at, over_at)
@@ -342,13 +350,17 @@
         )
         if not chosen:
             chosen = self.witnesses
-        is_settled = lease_clock() >= self.predecessor_end_at
-        if set(chosen) == set(self.witnesses) and (
-            self.is_settlement_stored or not is_settled
+        if lease_clock() >= self.predecessor_end_at:
+            self.over_before = self.row.term
+            self.earlier_witnesses = {}
+        if (
+            set(chosen) == set(self.witnesses)
+            and self.over_before == self.stored_over_before
         ):
             return
-        earlier = {} if is_settled else self.earlier_witnesses
-        row = WitnessRow(self.row.term, chosen, is_settled, earlier)
+        row = WitnessRow(
+            self.row.term, chosen, self.over_before, self.earlier_witnesses
+        )
         self.is_storing_witnesses = True
         self.local_host.spawn(self._store_witnesses(self.witness_version, row))
 
@@ -374,12 +386,12 @@
             self.authority.record_stored_group(row.witnesses)
             self.authority.record_confirmation(sent_at)
             self.witnesses = row.witnesses
-            self.is_settlement_stored = row.is_settled
+            self.stored_over_before = row.over_before
             self.log.emit(
                 Event.WITNESSES_CHOSEN,
                 term=self.row.term,
                 witnesses=[witness.address for witness in row.witnesses],
-                is_settled=row.is_settled,
+                over_before=row.over_before,
                 row_version=self.witness_version,
             )
         finally:
--- a/src/oriolearch/succession.py
+++ b/src/oriolearch/succession.py
@@ -49,7 +49,7 @@
             return
         rows = {term.term: term for term in self.predecessor.known_terms()}
         earlier = EarlierTerms(tuple(rows), row, self.took_over_at)
-        self.leadership.earlier_witnesses = earlier.witnesses()
+        self.leadership.record_earlier_terms(earlier)
         while not self.leadership.is_over and lease_clock() < earlier.over_at:
             await asyncio.gather(
                 *(
--- a/tests/test_witnesses.py
+++ b/tests/test_witnesses.py
@@ -137,7 +137,7 @@
 
 def test_row_is_read_as_it_was_written() -> None:
     """Fails if a successor reads other witnesses than were written."""
-    row = WitnessRow(4, GROUP, is_settled=False, earlier={3: (A, D), 2: ()})
+    row = WitnessRow(4, GROUP, over_before=2, earlier={3: (A, D), 2: ()})
     assert decode_witnesses(row.encode()) == row
     assert row.of_term(4) == GROUP
     assert row.of_term(3) == (A, D)
@@ -238,11 +238,11 @@
 @pytest.mark.parametrize(
     ('terms', 'row', 'pending', 'has_others'),
     [
-        ((5,), WitnessRow(5, GROUP, is_settled=True), {5: GROUP}, False),
-        ((5, 4, 3), WitnessRow(5, GROUP, is_settled=True), {5: GROUP}, False),
+        ((5,), WitnessRow(5, GROUP, over_before=5), {5: GROUP}, False),
+        ((5, 4, 3), WitnessRow(5, GROUP, over_before=5), {5: GROUP}, False),
         (
             (5, 4),
-            WitnessRow(4, GROUP, is_settled=True),
+            WitnessRow(4, GROUP, over_before=4),
             {5: (), 4: GROUP},
             False,
         ),
@@ -252,7 +252,13 @@
             {5: GROUP, 4: (A, D), 3: ()},
             True,
         ),
-        ((5,), WitnessRow(4, GROUP, is_settled=True), {5: ()}, True),
+        ((5,), WitnessRow(4, GROUP, over_before=4), {5: ()}, True),
+        (
+            (5, 4, 3),
+            WitnessRow(5, GROUP, 4, {4: (A, D)}),
+            {5: GROUP, 4: (A, D)},
+            False,
+        ),
         ((5, 4), WitnessRow(0), {5: (), 4: ()}, True),
         ((2, 1), WitnessRow(1, GROUP), {2: (), 1: GROUP}, False),
     ],
@@ -262,6 +268,7 @@
         'no-row-of-the-last',
         'not-settled',
         'unknown-term',
+        'settled-up-to-the-last-but-one',
         'no-row',
         'from-the-first',
     ],
@@ -306,18 +313,18 @@
         if self.row is None or self.happens(0.1):
             is_settled = now >= self.end.over_at
             group = self.end.witnesses
-            self.row = WitnessRow(TERM, group, is_settled=True)
+            self.row = WitnessRow(TERM, group, over_before=TERM)
             if self.happens(0.5):
                 self.row = WitnessRow(
                     TERM + 1,
                     tuple(self.rng.sample(self.hosts, 3)),
-                    is_settled,
+                    TERM + 1 if is_settled else TERM,
                     {} if is_settled else {TERM: group},
                 )
 
     def act_as_second_successor(self, now: float) -> None:
         if self.earlier is None:
-            row = self.row or WitnessRow(TERM, self.stored, is_settled=True)
+            row = self.row or WitnessRow(TERM, self.stored, over_before=TERM)
             self.earlier = EarlierTerms((TERM + 1, TERM), row, now)
             self.earlier.ends[TERM + 1].record_proven_end(now)
         end = self.earlier.ends.get(TERM)
