--- a/tests/test_key_ownership.py
+++ b/tests/test_key_ownership.py
@@ -215,9 +215,10 @@
 class SlowFleet(Fleet):
     """Upstreams that answer calls late, or apply them and never answer.
 
-    :ivar pending: calls with the time of their arrival, of their effect and
-        of their answer; an unanswered one has its effect later than the
-        coordinator gives it up.
+    :ivar pending: calls in flight, with the times of their arrival and of
+        their end.
+    :ivar late: grants given up unanswered, with the times of their arrival
+        and of their effect.
     """
 
     def __init__(self, seed: int) -> None:
