Wait for a named successor before the hosts of a test are killed

A host that no row names as a successor may not take over, and the setup killed the others as soon as all shards had owners. It now waits until the last host is named.

--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -179,6 +179,22 @@
     )
 
 
+def is_successor(running: Cluster, name: str) -> bool:
+    """Return whether a host is named as a successor for these shards."""
+    authorities = [host.control.authorities for host in running.hosts.values()]
+    rows = [
+        known.by_key[MOVABLE].rows.authority
+        for known in authorities
+        if MOVABLE in known.by_key
+    ]
+    return any(
+        successor.host == name
+        for row in rows
+        if row is not None
+        for successor in row.successors
+    )
+
+
 @pytest.fixture
 def restarted() -> Iterator[Cluster]:
     """Lose all hosts, last the adopter of the shards of zone a; start all."""
@@ -186,6 +202,9 @@
         running.configure()
         running.wait_until('every shard has an owner', running.is_served)
         names = list(running.hosts)
+        running.wait_until(
+            'a successor is named', lambda: is_successor(running, names[-1]), 30
+        )
         for name in names[:-1]:
             running.kill_host(name)
         running.wait_until('adopted', lambda: is_held(running), 30)
