Share the handling of a stop among all cheroot servers

Cause: callers' connections and stand-ins each caught the ValueError of a selector that a stop had closed, in the same five lines, and the server of the administration API, a third user of cheroot, did not.

Change: one StoppableServer, used by the three. The test of the race covers the API too; that case fails with the plain server of cheroot. Callers and stand-ins close the connection and log as before.

--- a/src/oriolearch/adapters/admin.py
+++ b/src/oriolearch/adapters/admin.py
@@ -28,6 +28,7 @@
 from oriolearch.core.model import Document
 from oriolearch.schema import EditModel, change_to_json, document_to_json, parse
 from oriolearch.settings import AdminSettings
+from oriolearch.stopping import StoppableServer
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_HEADER_BYTES = 16 * 1024
@@ -263,6 +264,10 @@
         ) from error
 
 
+class ApiServer(StoppableServer, wsgi.Server):
+    """A WSGI server that may be stopped while it answers."""
+
+
 class AdminServer:
     """HTTP server of the API with its own socket and threads."""
 
@@ -273,7 +278,7 @@
     ) -> None:
         host, _, port = settings.address.rpartition(':')
         tokens = {token.sha256: token.name for token in settings.tokens}
-        self.server = wsgi.Server(
+        self.server = ApiServer(
             (host, int(port)),
             AdminApplication(administration, tokens),
             numthreads=2,
--- a/src/oriolearch/adapters/callers.py
+++ b/src/oriolearch/adapters/callers.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from cheroot.server import HTTPConnection, HTTPServer
+from cheroot.server import HTTPConnection
 from cheroot.workers.threadpool import ThreadPool
 
 from oriolearch.adapters.framing import (
@@ -29,6 +29,7 @@
     CallerRequest,
     wait_for_caller,
 )
+from oriolearch.stopping import StoppableServer
 
 LINGER_S = 2.0  # time for a caller to read an error during its upload
 POLL_INTERVAL_S = 0.02
@@ -257,7 +258,7 @@
             self.slots.release()
 
 
-class CallerServer(HTTPServer):
+class CallerServer(StoppableServer):
     """Accepts connections of callers and passes requests to a handler.
 
     :param handler: responds to a request with its methods ``start``,
@@ -346,20 +347,13 @@
         self.requests.put(conn)
 
     def put_conn(self, conn: CallerConnection) -> None:
-        """Return a served connection to the selector or a stream thread.
-
-        A stop may close the selector after cheroot has checked for a stop.
-        """
+        """Return a served connection to the selector or a stream thread."""
         if conn.unfinished is not None:
             self._start_download(conn)
         elif conn.request is not None and conn.request.is_upload:
             self._start_upload(conn)
         else:
-            try:
-                super().put_conn(conn)
-            except ValueError:
-                self.error_log('connection closed, as the server has stopped')
-                conn.close()
+            super().put_conn(conn)
 
     def error_log(
         self,
--- a/src/oriolearch/standins/server.py
+++ b/src/oriolearch/standins/server.py
@@ -18,6 +18,8 @@
 from cheroot import wsgi
 from cheroot.workers import threadpool
 
+from oriolearch.stopping import StoppableServer
+
 logger = logging.getLogger(__name__)
 
 CHUNK_BYTES = 65536
@@ -240,7 +242,7 @@
     )
 
 
-class _Server(wsgi.Server):
+class _Server(StoppableServer, wsgi.Server):
     """A cheroot server that counts connections and grows its thread pool."""
 
     ConnectionClass = _Connection
@@ -275,17 +277,6 @@
         sock.bind(bind_addr)
         return sock
 
-    def put_conn(self, conn: _Connection) -> None:
-        """Wait for the next request of a connection.
-
-        A stop may close the selector after cheroot has checked for a stop.
-        """
-        try:
-            super().put_conn(conn)
-        except ValueError:
-            logger.info('connection closed, as the server has stopped')
-            conn.close()
-
     def error_log(
         self,
         msg: str = '',
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from oriolearch.adapters.admin import ApiServer
 from oriolearch.adapters.callers import CallerLimits, CallerServer
 from oriolearch.clock import RealClock, wait_on
 from oriolearch.standins.platform import PlatformStandin
@@ -121,7 +122,14 @@
     )
 
 
-@pytest.mark.parametrize('make', [make_stand_in_server, make_caller_server])
+def make_api_server() -> Any:
+    """Return the server of the administration API, which is not started."""
+    return ApiServer(('127.0.0.1', 0), lambda environ, start: [])
+
+
+@pytest.mark.parametrize(
+    'make', [make_stand_in_server, make_caller_server, make_api_server]
+)
 def test_answer_that_ends_with_the_stop_closes_its_connection(
     make: Callable[[], Any],
 ) -> None:
