Remove repetition from tests of takeovers and ownership

The second successor asked hosts by a copy of the first one's steps; the slow fleet recorded answers by a copy of the fleet's; a test looked for the coordinator that it had just been given; an authority key was spelled twice. smooth_service_time treats an unknown and a zero time in one place.

--- a/src/oriolearch/core/balance.py
+++ b/src/oriolearch/core/balance.py
@@ -153,10 +153,9 @@
     Most differences between two reports are random. One that is not, as of an
     upstream that has become slow, counts at once.
     """
-    if previous_s is None:
+    if not previous_s:
         return reported_s
-    ratio = reported_s / previous_s if previous_s else math.inf
-    if not 1 / STEADY_RATIO < ratio < STEADY_RATIO:
+    if not 1 / STEADY_RATIO < reported_s / previous_s < STEADY_RATIO:
         return reported_s
     return previous_s + (reported_s - previous_s) * REPORT_WEIGHT
 
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -14,6 +14,7 @@
 from oriolearch.standins.platform import FaultsBody
 
 LAYOUT = ClusterLayout(zones=('a', 'b'), hosts=2, plain=1, shard_count=512)
+MOVABLE = AuthorityKey('a', Mobility.MOVABLE)
 
 
 @pytest.fixture(scope='module')
@@ -57,16 +58,15 @@
     """Hosts of other zones whose permits for the zone's shards ended must get
     new ones from the coordinator that took over.
     """
-    key = AuthorityKey('a', Mobility.MOVABLE)
     control = cluster.hosts['b1'].control
     cluster.wait_until(
         'the new coordinator is recorded',
-        lambda: control.sync_state.coordinators[key].host == 'a2',
+        lambda: control.sync_state.coordinators[MOVABLE].host == 'a2',
         60,
     )
     cluster.wait_until(
         'the permits of the new coordinator are valid',
-        lambda: control.sync_state.view.permit_ends[key] > time.monotonic(),
+        lambda: control.sync_state.view.permit_ends[MOVABLE] > time.monotonic(),
         60,
     )
 
@@ -167,9 +167,6 @@
         check_all_are_served(running, names[0])
 
 
-MOVABLE = AuthorityKey('a', Mobility.MOVABLE)
-
-
 def is_held(running: Cluster) -> bool:
     """Return whether a host holds the movable shards of zone a."""
     now = time.monotonic()
--- a/tests/test_key_ownership.py
+++ b/tests/test_key_ownership.py
@@ -110,11 +110,14 @@
             for (other, leased), until in tuple(self.lease_ends.items()):
                 assert other == ref or leased != key or until <= self.now
             self.lease_ends[ref, key] = self.now + LEASE_S * CLOCK_RATE_FACTOR
+        self.record_answer(effect, self.now)
+
+    def record_answer(self, effect: Grant | Release, sent_at: float) -> None:
         if isinstance(effect, Grant):
-            self.ownership.record_confirmation(self.now, effect.call, self.now)
+            self.ownership.record_confirmation(self.now, effect.call, sent_at)
         else:
             self.ownership.record_release(self.now, effect.call, 'token-1')
-        self.ownership.record_call_end(ref)
+        self.ownership.record_call_end(effect.upstream.ref)
 
     def owner(self, key: int) -> Incarnation | None:
         ranges = self.ownership.snapshot(self.now)
@@ -260,7 +263,7 @@
                 self.ownership.record_call_end(ref)
             else:
                 self.lease(effect, sent_at)
-                self.answer_call(effect, sent_at)
+                self.record_answer(effect, sent_at)
         for grant in list(self.late):
             if grant[1] <= self.now:
                 self.late.remove(grant)
@@ -281,14 +284,6 @@
                     assert self.lease_ends.get((other, key), 0) <= self.now
                 self.lease_ends[ref, key] = until
 
-    def answer_call(self, effect: Grant | Release, sent_at: float) -> None:
-        ownership = self.ownership
-        if isinstance(effect, Grant):
-            ownership.record_confirmation(self.now, effect.call, sent_at)
-        else:
-            ownership.record_release(self.now, effect.call, 'token')
-        ownership.record_call_end(effect.upstream.ref)
-
 
 @pytest.mark.parametrize('seed', range(60))
 def test_keys_never_have_two_owners_while_calls_are_slow(seed: int) -> None:
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -372,8 +372,8 @@
         store.is_closing = outage_s > 0
         await asyncio.sleep(outage_s)
         store.is_closing = False
-        await wait_for_coordinator(installation)
-        leadership = coordinator_host(installation).coordination.leadership
+        successor = await wait_for_coordinator(installation)
+        leadership = successor.coordination.leadership
         assert leadership is not None
         assert leadership.row.term > old_term.row.term
         # By then a predecessor that has ended has answered.
--- a/tests/test_witnesses.py
+++ b/tests/test_witnesses.py
@@ -201,12 +201,16 @@
     def act_as_successor(self, now: float) -> None:
         if self.end is None:
             self.end = PredecessorEnd(self.stored, now)
+        self.ask_a_host(now, self.end)
+
+    def ask_a_host(self, now: float, end: PredecessorEnd) -> None:
+        """Have a host promise to acknowledge the term no more, or not."""
         asked = self.rng.choice(self.hosts)
         if self.happens(0.3):
             self.promises[asked].refuse_up_to(TERM)
-            if asked in self.stored and self.happens(0.7):
+            if asked in end.witnesses and self.happens(0.7):
                 term = self.promises[asked].term
-                self.end.record_answer(now, asked, asked.run, term, TERM)
+                end.record_answer(now, asked, asked.run, term, TERM)
 
     def happens(self, share: float) -> bool:
         return self.rng.random() < share
@@ -328,12 +332,8 @@
             self.earlier = EarlierTerms((TERM + 1, TERM), row, now)
             self.earlier.ends[TERM + 1].record_proven_end(now)
         end = self.earlier.ends.get(TERM)
-        asked = self.rng.choice(self.hosts)
-        if end is not None and self.happens(0.3):
-            self.promises[asked].refuse_up_to(TERM)
-            if asked in end.witnesses and self.happens(0.7):
-                term = self.promises[asked].term
-                end.record_answer(now, asked, asked.run, term, TERM)
+        if end is not None:
+            self.ask_a_host(now, end)
 
 
 @pytest.mark.parametrize('seed', range(300))
