--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
-"""A host is stopped while requests wait for busy servers."""
+"""An entry of another writer holds a number of 400 digits; all hosts restart."""
 
 import asyncio
+import json
 import signal
 import sys
 from pathlib import Path
@@ -8,61 +9,52 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'standins'))
 import rig  # noqa: E402
 
-TIMEOUT_S = 6.0  # of the route, as the site file iped-pares-grown has it
-OBJECTIVE_S = 1.575
-CLIENT_TIMEOUT_MS = 12000
-GRACE_S = 6.0
-LOSS_SLACK_S = 0.2
-LOAD_PER_S = 54.0  # sixteen slots serve 31 a second
-HOSTS = 3
-STOPPED = 1  # one after the other, if more
-GAP_S = 1.3
+RECOVER_S = 15.0
+LOAD_PER_S = 12.0
+DOWN_S = 0.5
+AFTER_S = 35.0
 
 
-def check(installation, stopped_at):
-    """Find requests that a stopped host has read and not answered."""
-    record = installation.record
-    lost = []
-    for attempt, host, sent_at, ended_at, status, text in (
-        installation.client.ended
-    ):
-        since = stopped_at.get(host)
-        if status or since is None or not since <= ended_at <= since + 7.0:
-            continue
-        waited_s = ended_at - sent_at
-        record.write(f'{attempt} ends unanswered after {waited_s:.2f} s: {text}')
-        is_due = waited_s >= TIMEOUT_S
-        # Counted only where no server was ever at work on the request.
-        has_run = attempt in installation.has_run
-        if waited_s > LOSS_SLACK_S and not is_due and not has_run:
-            lost.append((attempt, sent_at - since, waited_s))
-    if lost:
-        attempt, after_s, waited_s = lost[0]
-        record.breach(
-            f'LOST: {len(lost)} requests end with a closed connection; the '
-            f'first, {attempt}, was sent {after_s:.2f} s after the SIGTERM and '
-            f'waited {waited_s:.2f} s, no server was at work on it'
-        )
+def make_entry():
+    """Return an entry with one field that cannot be read."""
+    info = {'service': 'pares', 'version': 'v1', 'zone': 'sul', 'slots': 2}
+    status = {'state': 'ready', 'seq': 1, 'warmup_left_s': 10**400}
+    entry = {'address': '127.0.0.1:9', 'born': 1, 'info': info}
+    return json.dumps({**entry, 'status': status}).encode()
 
 
 async def case(installation, has_trouble):
-    record = installation.record
-    installation.work_s = lambda: installation.rng.uniform(0.35, 0.69)
-    installation.routes['arquivo'] = ('ensaios', 'safe', TIMEOUT_S, OBJECTIVE_S)
-    await installation.open(hosts=HOSTS, servers=3, plain=8)
-    load = installation.spawn(
-        installation.load(LOAD_PER_S, 38.0, 'arquivo', CLIENT_TIMEOUT_MS)
-    )
-    await asyncio.sleep(22.0)
-    stopped_at = {}
-    for host in installation.hosts[:STOPPED]:
-        stopped_at[host] = record.now()
-        if has_trouble:
-            host.send(signal.SIGTERM)
-        await asyncio.sleep(GAP_S)
+    record, client = installation.record, installation.client
+    installation.work_s = lambda: installation.rng.uniform(0.05, 0.15)
+    await installation.open(hosts=3, servers=6)
+    began_at = record.now()
+    load = installation.spawn(installation.load(LOAD_PER_S, 10 + AFTER_S))
+    await asyncio.sleep(5.0)
+    if has_trouble:
+        installation.store.put('servers', 'x-1', make_entry())
+        record.write('another writer writes servers/x-1')
+    await asyncio.sleep(5.0)
+    killed_at = record.now()
+    for host in installation.hosts:
+        host.send(signal.SIGKILL)
+    await asyncio.sleep(DOWN_S)
+    for host in installation.hosts:
+        host.kill()
+        host.is_first = False
+        host.start()
+    back_at = record.now()
     await load
-    await asyncio.sleep(7.0)
-    check(installation, stopped_at)
+    await asyncio.sleep(2.5)
+    before = client.served_share(began_at, killed_at)
+    after = client.served_share(back_at + RECOVER_S, record.now())
+    print(f'served before {before:.3f}, {RECOVER_S:.0f} s later {after:.3f}')
+    record.write(f'served: {before:.3f} before, {after:.3f} after')
+    if before >= 0.25 > after:
+        record.breach(
+            f'RECOVER: {after:.3f} of the requests sent later than '
+            f'{RECOVER_S:.0f} s after the machines are back are served, '
+            f'{before:.3f} were before the final fault'
+        )
 
 
 rig.run(case, Path(__file__).parent)
