--- a/src/oriolearch/adapters/host_links.py
+++ b/src/oriolearch/adapters/host_links.py
@@ -49,7 +49,10 @@
     payload = line
     if line.startswith(_COMPRESSED_PREFIX):
         payload = decompress(b64decode(line[1:]), MAX_MESSAGE_BYTES)
-    message = json.loads(payload)
+    try:
+        message = json.loads(payload)
+    except RecursionError as error:
+        raise ValueError('malformed message: nested too deeply') from error
     if not isinstance(message, dict):
         raise ValueError('malformed message: not a JSON object')
     return message
@@ -122,7 +125,7 @@
             )
     except ConnectionRefusedError as error:
         raise PeerRefusedError(address, 'connection refused') from error
-    except (OSError, TimeoutError, ValueError) as error:
+    except (OSError, OverflowError, ValueError) as error:
         reason = f'{type(error).__name__} {error}'
         raise PeerError(address, reason) from error
     return HostLink(address, reader, writer)
--- a/src/oriolearch/adapters/upstream_links.py
+++ b/src/oriolearch/adapters/upstream_links.py
@@ -453,7 +453,7 @@
                 )
         except ConnectionRefusedError as error:
             raise LinkRefusedError(self.address, 'refused', False) from error
-        except (OSError, TimeoutError, ValueError) as error:
+        except (OSError, OverflowError, ValueError) as error:
             reason = f'connect: {type(error).__name__} {error}'
             raise LinkError(self.address, reason, False) from error
         return link
--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from dataclasses import dataclass, replace
+from functools import partial
 from typing import Any
 
 from oriolearch.adapters.host_links import HostLink, Message, connect, listen
@@ -49,6 +50,7 @@
     encode_rows,
 )
 from oriolearch.succession import ANSWER_TIMEOUT_S, Succession, ask
+from oriolearch.supervision import keep_running, log_task_failure
 
 # A starting host checks this often whether its tables have been read.
 START_POLL_S = 0.02
@@ -182,21 +184,30 @@
         self.counts = {}
         return counts
 
-    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+    def spawn(
+        self,
+        coroutine: Coroutine[Any, Any, None],
+        name: str | None = None,
+    ) -> asyncio.Task[None]:
         """Start a task and log its errors."""
-        task = asyncio.get_running_loop().create_task(coroutine)
+        task = asyncio.get_running_loop().create_task(coroutine, name=name)
         self.tasks.add(task)
         task.add_done_callback(self._on_task_done)
         return task
 
+    def spawn_lasting(
+        self,
+        name: str,
+        start: Callable[[], Coroutine[Any, Any, None]],
+    ) -> asyncio.Task[None]:
+        """Start a task that is started again whenever it fails."""
+        return self.spawn(keep_running(name, start, self.log), name)
+
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self.log.emit(
-                Event.TASK_FAILED,
-                task=task.get_name(),
-                error=repr(task.exception()),
-            )
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            log_task_failure(self.log, task.get_name(), error)
 
     async def listen(self, address: str) -> None:
         """Accept connections of other hosts."""
@@ -483,7 +494,7 @@
             self.failed_connects += 1
             return error.reason
         self.failed_connects = 0
-        reporter = self.spawn(self._report(link))
+        reporter = self.spawn_lasting('report', partial(self._report, link))
         self.relay.start_receiving()
         try:
             link.send(
@@ -868,7 +879,7 @@
         leadership.authority.record_confirmation(began_at)
         if predecessor is None:
             leadership.limit_predecessor(leadership.began_at)
-        self.spawn(Succession(leadership, predecessor, self.log).run())
+        succession = Succession(leadership, predecessor, self.log)
         self.leadership = leadership
         self._set_cut_off(False)
         self.forwarder.lapsed_leases.clear()
@@ -880,10 +891,14 @@
             addresses.add(predecessor.address)
         for address in addresses - {self.address}:
             self.spawn(self._announce_term(address, row, version))
-        self.spawn(leadership.run())
-        self.spawn(self._watch_store(leadership))
-        self.spawn(self._confirm_authority(leadership))
-        self.spawn(self._report_locally(leadership))
+        for name, start in (
+            ('succession', succession.run),
+            ('leadership', leadership.run),
+            ('store check', partial(self._watch_store, leadership)),
+            ('authority', partial(self._confirm_authority, leadership)),
+            ('local report', partial(self._report_locally, leadership)),
+        ):
+            self.spawn_lasting(name, start)
 
     async def _announce_term(
         self,
--- a/src/oriolearch/coordinator_rows.py
+++ b/src/oriolearch/coordinator_rows.py
@@ -11,7 +11,7 @@
     Incarnation,
     parse_incarnation,
 )
-from oriolearch.core.errors import ConditionFailedError
+from oriolearch.core.errors import MALFORMED_ERRORS, ConditionFailedError
 from oriolearch.core.keyranges import OwnedRange
 from oriolearch.core.ownership import KeyRange
 from oriolearch.eventlog import Event, EventLog
@@ -86,7 +86,7 @@
                 for host, address, term, nonce in fields.get('earlier', ())
             ),
         )
-    except (ValueError, KeyError, TypeError):
+    except MALFORMED_ERRORS:
         return None
 
 
@@ -140,7 +140,7 @@
             )
             keys.previous = _parse_ref(previous)
             ranges.append(keys)
-    except (KeyError, TypeError) as error:
+    except MALFORMED_ERRORS as error:
         raise ValueError(f'malformed ranges: {error}') from error
     starts = [0, *(keys.last + 1 for keys in ranges)]
     if starts != [*(keys.first for keys in ranges), KEY_COUNT]:
--- a/src/oriolearch/core/errors.py
+++ b/src/oriolearch/core/errors.py
@@ -12,6 +12,17 @@
 _REPR.maxlist = _REPR.maxtuple = _REPR.maxdict = 20
 
 
+# What reading a document of unexpected shape raises: missing or nested parts,
+# values of other types, numbers out of range.
+MALFORMED_ERRORS = (
+    ArithmeticError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
+
 def _format_value(value: object) -> str:
     """Return a text of limited length for a value of any size."""
     try:
--- a/src/oriolearch/core/witnesses.py
+++ b/src/oriolearch/core/witnesses.py
@@ -21,6 +21,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from oriolearch.core.errors import MALFORMED_ERRORS
+
 FIRST_TERM = 1
 # Two of three acknowledge a coordinator or promise a successor, so that one
 # may fail.
@@ -100,7 +102,7 @@
                 for term, group in dict(fields.get('earlier', {})).items()
             },
         )
-    except (ValueError, KeyError, TypeError):
+    except MALFORMED_ERRORS:
         return WitnessRow(0)
 
 
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -185,8 +185,9 @@
     TASK_FAILED = EventKind(
         407,
         logging.ERROR,
-        ('task', 'error'),
-        'A task ended with an unexpected error; the host continues.',
+        ('task', 'error', 'trace', 'restart_in_s'),
+        'A task ended with an unexpected error; the host continues. A task '
+        'that lasts as long as the host or a role is started again.',
     )
     HOST_REFUSED = EventKind(
         411,
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -142,7 +142,8 @@
         for table_watch in watch.table_watches(
             is_first_start=settings.is_first_start
         ):
-            self.coordination.spawn(table_watch.run())
+            name = f'watch of {table_watch.table}'
+            self.coordination.spawn_lasting(name, table_watch.run)
         probes = ColdProbes(
             self.grants,
             self.registry,
@@ -150,14 +151,14 @@
             self.log,
             self.coordination.is_store_lost,
         )
-        for task in (
-            self.coordination.follow(),
-            self.coordination.run(),
-            self.forwarder.run(),
-            probes.run(),
-            self._tick(),
+        for name, start in (
+            ('coordinator row', self.coordination.follow),
+            ('coordination', self.coordination.run),
+            ('request queue', self.forwarder.run),
+            ('cold probes', probes.run),
+            ('housekeeping', self._tick),
         ):
-            self.coordination.spawn(task)
+            self.coordination.spawn_lasting(name, start)
 
     async def _answer_readiness(self, request: IncomingRequest) -> Reply:
         is_ready = request.target == READY_PATH and self._is_ready()
--- a/src/oriolearch/platform/documents.py
+++ b/src/oriolearch/platform/documents.py
@@ -1,6 +1,8 @@
 """Decoding of the rows that the operator and the servers store."""
 
 import json
+import re
+import socket
 from collections.abc import Iterable, Iterator
 
 from oriolearch.core.directory import (
@@ -15,7 +17,7 @@
     make_directory,
 )
 from oriolearch.core.errors import ValidationError
-from oriolearch.platform.fields import Fields
+from oriolearch.platform.fields import Fields, check_label
 
 OPERATOR_TABLE = 'op'
 UPSTREAM_TABLE = 'servers'
@@ -28,6 +30,10 @@
     'upload': (Repeat.ONCE, True),
 }
 _UPSTREAM_STATES = frozenset(('ready', 'draining'))
+_VERSION = re.compile('r([0-9]{1,18})')
+MAX_PORT = 65535
+MAX_SLOTS = 100_000  # requests that one upstream can process at once
+MAX_COLD_START_S = 86_400.0
 
 
 def decode_directory(value: bytes) -> Directory:
@@ -37,10 +43,11 @@
     """
     fields = Fields('config', _parse('config', value))
     version = fields.text('version')
-    if not version.startswith('r') or not version[1:].isdigit():
+    number = _VERSION.fullmatch(version)
+    if number is None:
         raise ValidationError('config', 'version', version, 'must be r<number>')
     return make_directory(
-        int(version[1:]),
+        int(number[1]),
         _decode_routes(fields),
         [_decode_pool(part) for part in fields.objects('clusters')],
         _decode_limits(fields.nested('limits')),
@@ -59,24 +66,39 @@
     state = status.text('state')
     if state not in _UPSTREAM_STATES:
         raise ValidationError(name, 'state', state, 'must be ready or draining')
-    address = fields.text('address')
-    if not address.rpartition(':')[2].isdigit():
-        raise ValidationError(name, 'address', address, 'must end in a port')
-    slots = info.number('slots')
-    if slots < 1:
-        raise ValidationError(name, 'slots', slots, 'must be positive')
+    # A request names the upstream in a header, which holds ASCII only.
+    if not check_label(name, '', name).isascii():
+        raise ValidationError(name, '', name, 'must be ASCII')
     return UpstreamEntry(
-        Incarnation(name, fields.integer('born')),
-        info.text('service'),
-        address,
-        info.text('zone'),
-        int(slots),
+        Incarnation(name, fields.integer('born', low=1)),
+        info.label('service'),
+        _read_address(fields),
+        info.label('zone'),
+        int(info.number('slots', low=1, high=MAX_SLOTS)),
         state == 'draining',
-        max(status.number('warmup_left_s', 0), 0),
+        max(status.number('warmup_left_s', 0, high=MAX_COLD_START_S), 0),
         status.integer('seq'),
     )
 
 
+def _read_address(fields: Fields) -> str:
+    """Return the address of an entry, an IPv4 address with a port."""
+    address = fields.text('address')
+    host, _, port = address.rpartition(':')
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError) as error:
+        reason = 'must be an IPv4 address and a port'
+        raise ValidationError(
+            fields.source, 'address', address, reason
+        ) from error
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    if not is_number or not 1 <= int(port) <= MAX_PORT:
+        reason = f'must have a port from 1 to {MAX_PORT}'
+        raise ValidationError(fields.source, 'address', address, reason)
+    return address
+
+
 def _parse(source: str, value: bytes) -> object:
     try:
         return json.loads(value)
--- a/src/oriolearch/platform/fields.py
+++ b/src/oriolearch/platform/fields.py
@@ -1,11 +1,14 @@
 """Typed fields of the JSON objects that others write."""
 
-import math
+import sys
 from collections.abc import Iterator
 from typing import Any
 
 from oriolearch.core.errors import ValidationError
 
+MAX_LABEL_CHARACTERS = 200  # of names; the store bounds its keys the same way
+MAX_INTEGER = 2**63 - 1  # larger integers are not exact in other systems
+
 
 class Fields:
     """Typed access to the fields of a JSON object.
@@ -33,22 +36,43 @@
             )
         return value
 
-    def number(self, name: str, default: float | None = None) -> float:
-        """Return a finite number; one without a default is required."""
+    def label(self, name: str) -> str:
+        """Return a name, which is a short printable string."""
+        return check_label(self.source, name, self.text(name))
+
+    def number(
+        self,
+        name: str,
+        default: float | None = None,
+        *,
+        low: float = -sys.float_info.max,
+        high: float = sys.float_info.max,
+    ) -> float:
+        """Return a number in a range; one without a default is required."""
         value = self.values.get(name, default)
         if isinstance(value, bool) or not isinstance(value, (int, float)):
             raise ValidationError(self.source, name, value, 'must be a number')
-        if not math.isfinite(value):
-            raise ValidationError(self.source, name, value, 'must be finite')
+        # An integer may be too large for a float, and is compared exactly.
+        if not low <= value <= high:
+            reason = f'must be from {low} to {high}'
+            raise ValidationError(self.source, name, value, reason)
         return float(value)
 
-    def integer(self, name: str, default: int | None = 0) -> int:
-        """Return an integer; one without a default is required."""
+    def integer(
+        self,
+        name: str,
+        default: int | None = None,
+        *,
+        low: int = 0,
+        high: int = MAX_INTEGER,
+    ) -> int:
+        """Return an integer in a range; one without a default is required."""
         value = self.values.get(name, default)
-        if isinstance(value, bool) or not isinstance(value, int):
-            reason = 'must be an integer'
+        is_integer = isinstance(value, int) and not isinstance(value, bool)
+        if value is None or not is_integer or not low <= value <= high:
+            reason = f'must be an integer from {low} to {high}'
             raise ValidationError(self.source, name, value, reason)
-        return value
+        return int(value)
 
     def flag(self, name: str) -> bool:
         """Return a required truth value."""
@@ -69,3 +93,14 @@
     def nested(self, name: str) -> 'Fields':
         """Return the fields of a required object."""
         return Fields(f'{self.source}.{name}', self.values.get(name))
+
+
+def check_label(source: str, name: str, value: str) -> str:
+    """Return a name if it can be logged and sent in a header.
+
+    :raises ValidationError: when it is empty, long or not printable.
+    """
+    if not value.isprintable() or not 0 < len(value) <= MAX_LABEL_CHARACTERS:
+        reason = f'must be 1 to {MAX_LABEL_CHARACTERS} printable characters'
+        raise ValidationError(source, name, value, reason)
+    return value
--- a/src/oriolearch/platform/store.py
+++ b/src/oriolearch/platform/store.py
@@ -1,7 +1,6 @@
 """Client of the platform's store: tables of rows with transactions."""
 
 import base64
-import binascii
 import json
 from collections import Counter
 from collections.abc import Iterable, Mapping
@@ -195,7 +194,7 @@
 def _decode_body(answer: HttpResponse) -> dict[str, Any]:
     try:
         body = json.loads(answer.body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise PlatformError(
             f'store answer is not valid JSON: {error}',
         ) from error
@@ -224,7 +223,7 @@
     if not fields.get('removed') and isinstance(encoded, str):
         try:
             value = base64.b64decode(encoded, validate=True)
-        except binascii.Error:
+        except ValueError:  # also for text that is not ASCII
             value = b''  # decoders of the row reject it as invalid
     version = fields.get('ver')
     return StoredRow(
--- a/src/oriolearch/platform/watching.py
+++ b/src/oriolearch/platform/watching.py
@@ -194,12 +194,19 @@
         now = loop_clock()
         with self.registry.batch_changes():
             for row in rows:
-                if row.value is None:
-                    self._remove_upstream(now, row.key, row.version)
-                else:
-                    self._apply_upstream(now, row, row.value)
+                self._apply_upstream_row(now, row)
         self.registry.is_read = True
 
+    def _apply_upstream_row(self, now: float, row: StoredRow) -> None:
+        """Apply a row; an error must not keep the others from being applied."""
+        try:
+            if row.value is None:
+                self._remove_upstream(now, row.key, row.version)
+            else:
+                self._apply_upstream(now, row, row.value)
+        except Exception as error:
+            self._log_rejected(row, error)
+
     def _apply_config(self, row: StoredRow, value: bytes) -> None:
         try:
             directory = decode_directory(value)
@@ -255,10 +262,10 @@
             row_version=version,
         )
 
-    def _log_rejected(self, row: StoredRow, error: ValidationError) -> None:
+    def _log_rejected(self, row: StoredRow, error: Exception) -> None:
         self.log.emit(
             Event.ROW_REJECTED,
             row=f'{row.table}/{row.key}',
             row_version=row.version,
-            error=str(error),
+            error=f'{type(error).__name__}: {error}',
         )
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -2,12 +2,14 @@
 
 import copy
 import json
+import socket
 from typing import Any
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from oriolearch.addresses import split_address
 from oriolearch.core.directory import Incarnation, Repeat
 from oriolearch.core.errors import ValidationError
 from oriolearch.platform.documents import (
@@ -66,6 +68,15 @@
 }
 
 
+ENTRY_PATHS = (
+    'address',
+    'born',
+    *(f'info.{name}' for name in ENTRY['info']),
+    *(f'status.{name}' for name in ENTRY['status']),
+)
+OPTIONAL_PATHS = frozenset(('info.version', 'status.warmup_left_s'))
+
+
 def encode_with(document: dict[str, Any], path: str, value: object) -> bytes:
     document_copy = copy.deepcopy(document)
     *parents, last = path.split('.')
@@ -149,6 +160,29 @@
         ('status.state', 'asleep'),
         ('status.warmup_left_s', 'long'),
         ('status.seq', 1.5),
+        ('status.seq', None),
+        ('status.seq', 10**400),
+        ('status.seq', -1),
+        ('status.warmup_left_s', 10**400),
+        ('status.warmup_left_s', 1e300),
+        ('status.warmup_left_s', float('nan')),
+        ('info.slots', 10**400),
+        ('info.slots', 1e308),
+        ('info.slots', float('inf')),
+        ('info.zone', '\ud800'),
+        ('info.zone', 'a\r\nb'),
+        ('info.service', 'x' * 5000),
+        ('born', None),
+        ('born', 0),
+        ('born', 10**400),
+        ('address', ':8080'),
+        ('address', '10.0.0.9:0'),
+        ('address', '10.0.0.9:65536'),
+        ('address', '10.0.0.9:' + '9' * 400),
+        ('address', '10.0.0.9:8\u00b2'),
+        ('address', '10.0.0.9:-1'),
+        ('address', 'host name:8080'),
+        ('address', '10.0.0.9\r\nx: y:8080'),
     ],
 )
 def test_bad_entry_names_no_upstream(path: str, value: object) -> None:
@@ -157,6 +191,66 @@
         decode_upstream('i-1', encode_with(ENTRY, path, value))
 
 
+@pytest.mark.parametrize(
+    'path', [path for path in ENTRY_PATHS if path not in OPTIONAL_PATHS]
+)
+def test_entry_without_a_field_names_no_upstream(path: str) -> None:
+    """Guard against defaults for fields that every upstream writes."""
+    document = copy.deepcopy(ENTRY)
+    *parents, last = path.split('.')
+    target: Any = document
+    for part in parents:
+        target = target[part]
+    del target[last]
+    with pytest.raises(ValidationError):
+        decode_upstream('i-1', json.dumps(document).encode())
+
+
+@pytest.mark.parametrize('name', ['', 'i 1\r\nx', 'i-\ud800', 'i-\u00e9'])
+def test_bad_name_names_no_upstream(name: str) -> None:
+    """Guard against names that end up in the headers of requests."""
+    with pytest.raises(ValidationError):
+        decode_upstream(name, json.dumps(ENTRY).encode())
+
+
+@pytest.mark.parametrize('version', ['r' + '9' * 5000, 'r\u00b2', 'r', 'r-1'])
+def test_bad_version_names_the_field(version: str) -> None:
+    """Guard against versions that only look like numbers."""
+    with pytest.raises(ValidationError):
+        decode_directory(encode_with(CONFIG, 'version', version))
+
+
+ODD_VALUES = (
+    st.none()
+    | st.booleans()
+    | st.floats()
+    | st.integers()
+    | st.sampled_from((10**400, -(10**400), 1e308, '\ud800', '9' * 5000))
+    | st.text('a1.: \u00b2\r\n\ud800', max_size=8)
+    | st.recursive(st.none(), lambda inner: st.lists(inner, max_size=1))
+)
+
+
+@given(st.dictionaries(st.sampled_from(ENTRY_PATHS), ODD_VALUES, max_size=3))
+def test_odd_fields_are_in_bounds_or_an_error(fields: dict[str, Any]) -> None:
+    """Guard against entries that fail only where they are used."""
+    document = copy.deepcopy(ENTRY)
+    for path, value in fields.items():
+        document = json.loads(encode_with(document, path, value))
+    try:
+        entry = decode_upstream('i-1', json.dumps(document).encode())
+    except ValidationError as error:
+        assert str(error).encode()
+        return
+    host, port = split_address(entry.address)
+    assert socket.inet_aton(host)
+    assert 0 < port < 65536
+    assert 0 < entry.slots < 10**6
+    assert 0 <= entry.cold_for_s < 10**6
+    assert 0 < entry.ref.started < 2**63
+    assert (entry.pool + entry.zone).isprintable()
+
+
 @given(st.binary(max_size=200))
 def test_random_bytes_are_an_error(value: bytes) -> None:
     """Guard against rows that crash the task that decodes them."""
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import gc
+import json
 import os
 import socket
 import sys
@@ -23,7 +24,7 @@
     LinkPool,
 )
 from oriolearch.clock import lease_clock
-from oriolearch.core.directory import Incarnation
+from oriolearch.core.directory import Incarnation, UpstreamEntry
 from oriolearch.core.errors import PeerError, ValidationError
 from oriolearch.core.witnesses import LONG_AUTHORITY_S, SHORT_AUTHORITY_S
 from oriolearch.leadership import Leadership
@@ -61,6 +62,17 @@
     raise AssertionError('no free port is left')
 
 
+def make_odd_entry(address: str = '127.0.0.1:9', **status: object) -> bytes:
+    """Return an entry with odd fields."""
+    entry = {
+        'address': address,
+        'born': 1,
+        'info': {'service': 'shop', 'version': '1', 'zone': 'a', 'slots': 2},
+        'status': {'state': 'ready', 'seq': 1, 'warmup_left_s': 0, **status},
+    }
+    return json.dumps(entry).encode()
+
+
 def settings(store: str, host: str = 'h1') -> dict[str, Any]:
     ports = iter(free_port, None)
     return make_settings(host, store, '127.0.0.1', ports)
@@ -692,6 +704,10 @@
         b'{"address": 5}',
         b'{"address": "x:1", "born": 1.5, "info": {}, "status": {}}',
         b'[' * 3000,
+        b'{"info": ' + b'[' * 900 + b']' * 900 + b'}',
+        make_odd_entry(warmup_left_s=10**400),
+        make_odd_entry(seq=10**400),
+        make_odd_entry(address='127.0.0.1:65536'),
     ],
 )
 def test_invalid_row_does_not_affect_others(row: bytes) -> None:
@@ -705,6 +721,38 @@
         assert 'i-new' in host.registry.entries
         assert 'i-bad' not in host.registry.entries
         await installation.wait_until_all_served()
+        # A host that starts reads the row together with all others.
+        installation.kill(host)
+        await installation.add_host('h-new')
+        await installation.wait_until_all_served()
+        assert 'i-bad' not in installation.hosts[0].registry.entries
+
+    run_scenario(scenario)
+
+
+def test_odd_rows_before_the_first_read() -> None:
+    """Guard against one row that keeps the others from being applied.
+
+    An error other than a validation error once ended the reading for good.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        host = installation.hosts[0]
+        put = host.registry.put
+
+        def put_or_fail(now: float, entry: UpstreamEntry) -> bool:
+            if entry.ref.name == 'i-0':
+                raise OverflowError('of a row that was decoded')
+            return put(now, entry)
+
+        host.registry.put = put_or_fail  # type: ignore[method-assign]
+        installation.store.put(
+            'servers', 'i-0', installation.servers[0].entry()
+        )
+        await installation.add_server('i-new')
+        async with asyncio.timeout(2):
+            while 'i-new' not in host.registry.entries:
+                await asyncio.sleep(0.02)
 
     run_scenario(scenario)
 
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -12,7 +12,7 @@
 from oriolearch.core.errors import InvariantError, StaleError, ValidationError
 from oriolearch.host import Host
 from oriolearch.settings import Settings
-from oriolearch.supervision import Supervisor
+from oriolearch.supervision import Supervisor, keep_running
 
 WAIT_S = 20
 
@@ -147,3 +147,27 @@
     with caplog.at_level(logging.INFO):
         asyncio.run(run())
     assert numbers(caplog) == [303, 303, 303, 303]
+
+
+def test_failed_task_runs_again(caplog: pytest.LogCaptureFixture) -> None:
+    """Guard against a task that ends unseen while the host lives on."""
+    caplog.set_level(logging.INFO)
+    starts: list[int] = []
+
+    async def fail_twice() -> None:
+        starts.append(len(starts))
+        if len(starts) < 3:
+            raise OverflowError(f'start {starts[-1]}')
+
+    asyncio.run(keep_running('watch', fail_twice, EventLog()))
+    assert starts == [0, 1, 2]
+    failures = [
+        record
+        for record in caplog.records
+        if getattr(record, 'event', '') == 'task_failed'
+    ]
+    assert [record.__dict__['error'] for record in failures] == [
+        "OverflowError('start 0')",
+        "OverflowError('start 1')",
+    ]
+    assert 'fail_twice' in failures[0].__dict__['trace'][-1]
