--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -66,6 +66,11 @@
 # sent on it is reset, and one that is not idempotent cannot be retried.
 MAX_IDLE_ONCE_S = 0.5
 MIN_TIME_LEFT_S = 0.01  # requests with less time left are not sent
+# A stopping host sends a request only while its answer can be expected before
+# the process ends: the latency objective of the route, and at least this.
+MIN_ANSWER_TIME_S = 1.0
+# Other hosts serve the callers of a stopping host at once.
+RETRY_AFTER_STOPPING_S = 0.1
 
 
 class RequestCodec(Protocol):
@@ -163,6 +168,11 @@
         requests.
     :ivar count_key: called with the pool and key of each keyed request.
     :ivar hears_coordinator: returns whether changes of owners arrive.
+    :ivar stops_at: when the process ends, if it stops; no answer is delivered
+        later.
+    :ivar late_from: requests received later are only taken if their deadline
+        ends before the process.
+    :ivar send_limits: time limits of the requests that are not sent yet.
     """
 
     def __init__(
@@ -194,6 +204,9 @@
         self.hears_coordinator: Callable[[], bool] = _is_always_in_contact
         self.lapsed_leases = LapsedLeases()
         self.latencies = Latencies()
+        self.stops_at: float | None = None
+        self.late_from = float('inf')
+        self.send_limits: dict[_ForwardedRequest, asyncio.Timeout] = {}
         self.retry_share = 0.0
         self.retry_burst = 1.0
         self.cold_burst = 1.0
@@ -364,10 +377,40 @@
         )
         self.latencies.record('', str(refusal.status), took_s)
 
+    def prepare_stop(self, stops_at: float, late_from: float) -> None:
+        """Refuse requests that may not be answered before the process ends.
+
+        They have not run, and other hosts still serve their callers.
+
+        :param stops_at: when the process ends, on the clock of the loop.
+        :param late_from: when callers no longer connect to this host.
+        """
+        self.stops_at = stops_at
+        self.late_from = late_from
+        for job, limit in self.send_limits.items():
+            limit.reschedule(self._send_by(job))
+
+    def _send_by(self, job: _ForwardedRequest) -> float | None:
+        """Return when a request is refused unless it was sent, if ever."""
+        if self.stops_at is None or job.deadline <= self.stops_at:
+            return None
+        answer_s = max(job.route.latency_objective_s, MIN_ANSWER_TIME_S)
+        return self.stops_at - answer_s
+
+    def _is_too_late(self, job: _ForwardedRequest) -> bool:
+        """Return whether a request came too late to be surely answered."""
+        if self.stops_at is None or job.request.received_at < self.late_from:
+            return False
+        return job.deadline > self.stops_at
+
+    def _make_stop_refusal(self, job: _ForwardedRequest) -> _RefusedError:
+        after_s = RETRY_AFTER_STOPPING_S * (1 + self.rng.random())
+        return self._make_refusal(job, 'stopping', after_s)
+
     async def _serve(self, job: _ForwardedRequest) -> Reply:
         self.retries[job.pool].earn()
         while True:
-            reservation = await self._reserve(job)
+            reservation = await self._reserve_in_time(job)
             job.assigned_at = loop_clock()
             result = AttemptResult(EndKind.OTHER)
             try:
@@ -425,6 +468,8 @@
             self.count_key(pool, head.key)
         job = _ForwardedRequest(request, head, route, pool, plan.is_keyed)
         job.config_version = directory.version
+        if self._is_too_late(job):
+            raise self._make_stop_refusal(job)
         return job
 
     def _choose_pool(self, route: RoutePlan) -> str:
@@ -449,6 +494,23 @@
         pool_shares[chosen] -= 1
         return chosen
 
+    async def _reserve_in_time(self, job: _ForwardedRequest) -> Reservation:
+        """Wait for a reservation, unless this host stops before an answer.
+
+        :raises _RefusedError: when there is none in time.
+        """
+        send_by = self._send_by(job)
+        if send_by is not None and loop_clock() >= send_by:
+            raise self._make_stop_refusal(job)
+        try:
+            async with asyncio.timeout_at(send_by) as limit:
+                self.send_limits[job] = limit
+                return await self._reserve(job)
+        except TimeoutError:
+            raise self._make_stop_refusal(job) from None
+        finally:
+            self.send_limits.pop(job, None)
+
     async def _reserve(self, job: _ForwardedRequest) -> Reservation:
         """Wait for a reservation at an upstream.
 
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -247,12 +247,14 @@
             running=self.listener.running(),
             is_coordinator=self.coordination.leadership is not None,
         )
+        ends_at = started_at + self.settings.bounds.stop_s - STOP_MARGIN_S
+        self.forwarder.prepare_stop(ends_at, started_at + LEAVE_ROTATION_S)
         handover = self.coordination.spawn(self.coordination.stop())
         await asyncio.sleep(LEAVE_ROTATION_S)
         self.servers[0].close()
-        self.listener.stop()
-        ends_at = started_at + self.settings.bounds.stop_s - STOP_MARGIN_S
         while loop.time() < ends_at:
+            # Also closes connections that were accepted meanwhile.
+            self.listener.stop()
             if not self.listener.links and handover.done():
                 break
             await asyncio.sleep(STOP_POLL_S)
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -11,6 +11,7 @@
 import sys
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -25,10 +26,13 @@
 )
 from oriolearch.clock import lease_clock
 from oriolearch.core.directory import Incarnation, UpstreamEntry
+from oriolearch.core.dispatching import QueuedRequest
 from oriolearch.core.errors import PeerError, ValidationError
 from oriolearch.core.witnesses import LONG_AUTHORITY_S, SHORT_AUTHORITY_S
 from oriolearch.leadership import Leadership
 from oriolearch.platform.daemon import HostDaemon
+from oriolearch.platform.documents import decode_directory
+from oriolearch.placing import Reservation, ReservationFuture
 from oriolearch.platform.settings import load_settings, read_settings
 from tests.platform_standin import (
     KeyedServer,
@@ -42,6 +46,7 @@
 CONFIG = make_document(7, [make_rule('order', 'unsafe', 1.2)])
 CONFIG_IN_FORCE_S = 2.0  # bound of the platform for a new configuration
 PREDECESSOR_ANSWER_S = 1.5
+MAX_RETRY_S = 0.5  # until a caller of a stopping host may return
 CALLER_CONNECT_S = 1.0  # connect timeout of callers
 LAST_ITERATIONS = 3  # of the event loop, from an accept to a running task
 
@@ -141,12 +146,14 @@
         for server in (*self.servers, self.store):
             server.stop()
 
-    async def send_order(self, key: int, host: int = 0) -> HttpResponse:
+    async def send_order(
+        self, key: int, host: int = 0, timeout_ms: int = 1000
+    ) -> HttpResponse:
         self.count += 1
         number = f'{self.count:016x}'
         request = (
             'POST /order/x HTTP/1.1\r\nHost: shop.example\r\n'
-            f'Attempt-Id: {number}\r\nTimeout-Ms: 1000\r\n'
+            f'Attempt-Id: {number}\r\nTimeout-Ms: {timeout_ms}\r\n'
             f'Shard-Key: {key}\r\nContent-Length: 2\r\n\r\nhi'
         )
         entry_link = LinkPool(
@@ -775,6 +782,89 @@
     run_scenario(scenario)
 
 
+def set_stop_time(host: HostDaemon, stop_s: float) -> None:
+    bounds = replace(host.settings.bounds, stop_s=stop_s)
+    host.settings = replace(host.settings, bounds=bounds)
+
+
+def test_stop_refuses_requests_that_wait_for_a_server() -> None:
+    """Guard against requests that are cut although no server got them."""
+
+    async def scenario(installation: Installation) -> None:
+        host = installation.hosts[0]
+        set_stop_time(host, 3.4)
+
+        async def wait(
+            pool: str, request: QueuedRequest, future: ReservationFuture
+        ) -> Reservation:
+            return await future
+
+        router = host.forwarder.reservation_router
+        router.reserve = wait  # type: ignore[method-assign]
+        host.registry.set_directory(
+            decode_directory(
+                json.dumps(
+                    make_document(8, [make_rule('order', 'unsafe', 6.0)])
+                ).encode()
+            )
+        )
+        waiting = asyncio.create_task(installation.send_order(7, 0, 6000))
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(host.stop())
+        await asyncio.sleep(1.0)
+        assert not waiting.done()
+        later = asyncio.create_task(installation.send_order(8, 0, 6000))
+        for order in (waiting, later):
+            answer = await order
+            assert answer.status == 503
+            assert float(answer.header(b'retry-after') or 'inf') <= MAX_RETRY_S
+        assert not stopping.done()
+        await stopping
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ('timeout_ms', 'status'),
+    [(300, b'HTTP/1.1 200 OK'), (1000, b'HTTP/1.1 503 Service Unavailable')],
+)
+def test_request_that_ends_late_in_a_stop(
+    timeout_ms: int, status: bytes
+) -> None:
+    """Guard against requests that are passed on and cut soon after.
+
+    One whose deadline ends before the process is still answered.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        host = installation.hosts[0]
+        set_stop_time(host, 3.7)
+        reader, writer = await asyncio.open_connection(
+            *split_address(host.settings.entry)
+        )
+        writer.write(
+            b'POST /order/x HTTP/1.1\r\nHost: shop.example\r\n'
+            b'Attempt-Id: 00000000000000aa\r\nTimeout-Ms: %d\r\n'
+            b'Shard-Key: 7\r\nContent-Length: 2\r\n\r\nh' % timeout_ms
+        )
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(host.stop())
+        await asyncio.sleep(2.6)
+        writer.write(b'i')
+        head = await reader.readuntil(b'\r\n\r\n')
+        writer.close()
+        assert head.startswith(status)
+        assert b'connection: close' in head
+        is_served = status.endswith(b'OK')
+        has_run = any(
+            '00000000000000aa' in server.ran for server in installation.servers
+        )
+        assert has_run == is_served
+        await stopping
+
+    run_scenario(scenario)
+
+
 def test_stop_answers_every_request() -> None:
     """Guard against requests that a graceful shutdown cuts off."""
 
