--- a/src/oriolearch/adapters/grants.py
+++ b/src/oriolearch/adapters/grants.py
@@ -12,6 +12,7 @@
 from pydantic import BaseModel, FiniteFloat, ValidationError
 
 from oriolearch.adapters import bounded
+from oriolearch.adapters.heads import WholeHeadConnectionPool
 from oriolearch.core.errors import StaleError
 from oriolearch.core.grants import SendGrant, ServerAnswer, ServerRefusal
 from oriolearch.core.messages import AuthorityKey, Mandate
@@ -134,7 +135,7 @@
     def __post_init__(self) -> None:
         """Create the connection pool; it connects with the first call."""
         host, _, port = self.address.rpartition(':')
-        self.pool = urllib3.HTTPConnectionPool(
+        self.pool = WholeHeadConnectionPool(
             host,
             int(port),
             timeout=urllib3.Timeout(total=self.timeout_s),
--- a/src/oriolearch/adapters/platform.py
+++ b/src/oriolearch/adapters/platform.py
@@ -11,6 +11,7 @@
 from pydantic import BaseModel, Field, TypeAdapter, ValidationError
 
 from oriolearch.adapters import bounded
+from oriolearch.adapters.heads import WholeHeadConnectionPool
 from oriolearch.core.errors import (
     ConditionFailedError,
     OutcomeUnknownError,
@@ -83,7 +84,7 @@
         host, _, port = address.rpartition(':')
         self.address = address
         self.headers = {ZONE_HEADER: zone}
-        self.pool = urllib3.HTTPConnectionPool(
+        self.pool = WholeHeadConnectionPool(
             host,
             int(port),
             timeout=urllib3.Timeout(total=timeout_s),
--- a/src/oriolearch/adapters/upstream.py
+++ b/src/oriolearch/adapters/upstream.py
@@ -18,10 +18,10 @@
 from typing import Any
 
 from opentelemetry.trace import Span
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
 from oriolearch.adapters.framing import PIECE_BYTES
+from oriolearch.adapters.heads import WholeHeadConnection
 from oriolearch.addresses import split_address
 from oriolearch.core.attempts import Failure
 from oriolearch.core.errors import OriolearchError
@@ -67,7 +67,7 @@
     stall_s: float = 30.0
 
 
-class UpstreamConnection(HTTPConnection):
+class UpstreamConnection(WholeHeadConnection):
     """A connection with a callback before the first byte of a request.
 
     Requests and responses use http.client directly, because the request
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -172,3 +172,21 @@
     assert not attempt.is_sent
     assert run(pool, 'b') == b'b'
     assert [call.target for call in fake.requests] == ['/b']
+
+
+HEAD = b'HTTP/1.1 200 OK\r\noriolearch-attempt: a\r\ncontent-length: 4\r\n\r\n'
+
+
+@pytest.mark.parametrize('size', range(1, len(HEAD)))
+def test_response_with_a_cut_head_is_an_error(
+    upstream: UpstreamFactory, size: int
+) -> None:
+    """Guard against a 200 with an empty body that is framed as whole."""
+
+    def script(call: ReceivedRequest) -> None:
+        call.read_body()
+        call.sock.sendall(HEAD[:size])
+        call.close()
+
+    with pytest.raises(AttemptError):
+        run(make_pool(upstream(script)), 'a')
--- a/tests/test_upstream_links.py
+++ b/tests/test_upstream_links.py
@@ -68,6 +68,25 @@
     return serve
 
 
+HEAD = b'HTTP/1.1 200 OK\r\nid: a\r\ncontent-length: 0\r\n\r\n'
+
+
+@pytest.mark.parametrize('size', range(1, len(HEAD)))
+@pytest.mark.parametrize('interim', [b'', b'HTTP/1.1 103 Early\r\n\r\n'])
+def test_response_with_a_cut_head_is_an_error(
+    interim: bytes, size: int
+) -> None:
+    """Guard against a 200 with an empty body that is framed as whole."""
+
+    async def exercise_cut(pool: LinkPool) -> None:
+        with pytest.raises(LinkError) as caught:
+            await pool.exchange(REQUEST, 1.0)
+        assert caught.value.was_sent
+
+    answer = interim + HEAD[:size]
+    run_against(scripted(answer, close_after_response=True), exercise_cut)
+
+
 @pytest.mark.parametrize(
     'answer',
     [
