--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -75,6 +75,7 @@
 MAX_TAKEOVER_DELAY_S = 0.8  # for the hosts with the least capacity
 # A host that cannot reach most of its peers takes over only after this.
 ISOLATED_TAKEOVER_S = 8.0
+MAX_SENT_AGE_S = 3600.0  # of a table that was never read, in heartbeats
 STORE_POLL_S = 28.0  # long poll of the store
 FOLLOW_PAUSE_S = 0.2  # between polls of the coordinator row
 STORE_PROBE_S = 0.5  # a slow store answers within 0.2 s
@@ -528,7 +529,7 @@
             pool = str(message.get('pool'))
             self.update_owners(pool, read_owners(message), message['whole'])
         elif kind == 'rows':
-            self.relay.receive(message)
+            self.relay.receive(message, is_from_coordinator=True)
         else:
             self._handle_hint(message)
 
@@ -558,11 +559,32 @@
         if message.get('grants', True):
             self.granting_contact_at = self.last_contact_at
             self.forwarder.lapsed_leases.clear()
-        self.is_store_lost_to_coordinator = bool(message.get('store_lost'))
+        self._record_coordinator_tables(message)
         self._apply_hosts(message)
         if message.get('stuck'):
             self._replace_stuck_coordinator()
 
+    def _record_coordinator_tables(self, message: Message) -> None:
+        """Record how current the tables are that the coordinator relays."""
+        is_store_lost = bool(message.get('store_lost'))
+        if is_store_lost != self.is_store_lost_to_coordinator:
+            self.is_store_lost_to_coordinator = is_store_lost
+            self.relay.is_store_in_doubt = is_store_lost
+            self.relay.reopen_polls('the store of the coordinator')
+        ages = message.get('ages')
+        if isinstance(ages, dict):
+            self.relay.record_ages(
+                loop_clock(),
+                {str(table): float(age_s) for table, age_s in ages.items()},
+            )
+
+    def table_ages(self) -> dict[str, float]:
+        """Return for how long each table was not known to be up to date."""
+        return {
+            table: round(min(age_s, MAX_SENT_AGE_S), 3)
+            for table, age_s in self.relay.ages(loop_clock()).items()
+        }
+
     def _close_link(self, link: HostLink) -> None:
         link.close()
         self.spawn(self._poll_after_silence())
@@ -581,15 +603,12 @@
         watchers = message.get('watchers')
         if not isinstance(watchers, list):
             return
-        if self.address not in watchers:
-            self.relay.forward = discard_rows
-            self.relay.set_relayed(self.relay.is_read())
-        elif (
-            not self.relay.must_poll.is_set()
-            or self.relay.forward is discard_rows
-        ):
-            self.relay.set_relayed(False)
+        if self.relay.forward is discard_rows:
+            # By now the coordinator has sent the tables as it knows them.
             self.relay.start_forwarding(_forward_to(link))
+        self.relay.is_watcher = self.address in watchers
+        is_relayed = not self.relay.is_watcher and self.relay.is_read()
+        self.relay.set_relayed(is_relayed)
 
     def _acknowledge(self, link: HostLink, message: Message) -> None:
         """Acknowledge the coordinator as one of its witnesses."""
@@ -886,6 +905,8 @@
         self.relay.set_relayed(False)
         self.relay.forward = leadership.members.send_rows
         self.relay.is_primary = True
+        self.relay.is_store_in_doubt = False
+        self.relay.reopen_polls('this host coordinates')
         addresses = set(self.forwarder.reservation_router.hosts)
         if predecessor is not None:
             addresses.add(predecessor.address)
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -253,6 +253,24 @@
         ('version', 'routes', 'row_version'),
         'A configuration is in force on this host.',
     )
+    POLLS_REOPENED = EventKind(
+        428,
+        logging.INFO,
+        ('tables', 'reason', 'newest', 'settled'),
+        'Open polls of the store may have been lost and were sent anew.',
+    )
+    TABLE_STALE = EventKind(
+        429,
+        logging.WARNING,
+        ('table', 'version', 'age_s'),
+        'A table has not been known to be up to date for too long.',
+    )
+    TABLE_CURRENT = EventKind(
+        430,
+        logging.INFO,
+        ('table', 'version', 'age_s'),
+        'A table that was stale is known to be up to date again.',
+    )
     ROW_REJECTED = EventKind(
         424,
         logging.WARNING,
--- a/src/oriolearch/gauges.py
+++ b/src/oriolearch/gauges.py
@@ -92,6 +92,14 @@
             'Version of the store up to which a table is known.',
             [({'table': table}, version) for table, version in versions],
         ),
+        (
+            'table_age_seconds',
+            'Time since a table was known to be up to date.',
+            [
+                ({'table': table}, age_s)
+                for table, age_s in coordination.table_ages().items()
+            ],
+        ),
     ]
 
 
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -115,6 +115,9 @@
     def end_term(self, reason: str) -> None:
         """End the term."""
 
+    def table_ages(self) -> dict[str, float]:
+        """Return for how long each table was not known to be up to date."""
+
 
 class Leadership:
     """One term of a coordinator.
@@ -672,4 +675,5 @@
             'stuck': self.is_stuck(),
             'grants': self.has_authority(),
             'store_lost': self.members.is_store_lost,
+            'ages': self.local_host.table_ages(),
         }
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -17,6 +17,7 @@
 from oriolearch.addresses import split_address
 from oriolearch.coordination import Coordination, HostIdentity
 from oriolearch.core.errors import ValidationError
+from oriolearch.core.versions import VersionLedger
 from oriolearch.eventlog import Event, EventLog, configure_pipe_logging
 from oriolearch.eventloop import new_event_loop
 from oriolearch.forwarding import Forwarder
@@ -27,7 +28,7 @@
     load_settings,
 )
 from oriolearch.platform.store import StoreClient
-from oriolearch.platform.watching import PlatformWatch
+from oriolearch.platform.watching import PlatformWatch, PollReview
 from oriolearch.platform.wire import GrantCalls, PlatformCodec
 from oriolearch.probing import ColdProbes
 from oriolearch.registry import Registry
@@ -59,7 +60,8 @@
         self.log = EventLog()
         self.rng = random.Random()
         self.registry = Registry()
-        self.store = StoreClient(settings.store)
+        self.relay = Relay(VersionLedger())
+        self.store = StoreClient(settings.store, self.relay.ledger)
         self.grants = GrantCalls()
         self.forwarder = Forwarder(
             settings.zone,
@@ -69,7 +71,6 @@
             self.log,
             self.rng,
         )
-        self.relay = Relay()
         self.listener = CallerListener(
             self.forwarder.serve,
             self.forwarder.is_safe,
@@ -77,6 +78,7 @@
         self.readiness = CallerListener(self._answer_readiness)
         self.servers: list[asyncio.Server] = []
         self.metrics = CallerListener(self._answer_metrics)
+        self.polls = PollReview((), self.relay, self.log)
         self.is_stopping = False
         self.has_been_ready = False
         self.coordination = Coordination(
@@ -139,9 +141,12 @@
             self.registry,
             self.log,
         )
-        for table_watch in watch.table_watches(
+        table_watches = watch.table_watches(
             is_first_start=settings.is_first_start
-        ):
+        )
+        self.polls = PollReview(table_watches, self.relay, self.log)
+        self.store.on_outcome = self.polls.record_outcome
+        for table_watch in table_watches:
             name = f'watch of {table_watch.table}'
             self.coordination.spawn_lasting(name, table_watch.run)
         probes = ColdProbes(
@@ -188,6 +193,7 @@
             ticks += 1
             now = loop.time()
             self.registry.apply_due_removals(now)
+            self.polls.run(now)
             self.forwarder.reservation_router.drop_if_silent()
             if ticks % SWEEP_PERIOD_TICKS == 0:
                 self._run_housekeeping(now)
--- a/src/oriolearch/platform/store.py
+++ b/src/oriolearch/platform/store.py
@@ -3,11 +3,12 @@
 import base64
 import json
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 from urllib.parse import urlencode
 
 from oriolearch.adapters.upstream_links import HttpResponse, LinkError, LinkPool
+from oriolearch.clock import loop_clock
 from oriolearch.core.errors import (
     ConditionFailedError,
     HistoryLostError,
@@ -15,6 +16,7 @@
     PlatformError,
     PlatformRefusedError,
 )
+from oriolearch.core.versions import VersionLedger
 from oriolearch.ports import LONG_POLL_GRACE_S, RowName, StoredRow, TableState
 
 # The store answers within 4 ms, or within 50 times that when it is slow.
@@ -26,12 +28,19 @@
     """Client of the store, shared by a process.
 
     :param address: ``host:port`` of the store.
+    :param ledger: records the versions that answers name.
     :ivar outcomes: number of calls by path and outcome, which is the
         status or ``unanswered``.
+    :ivar on_outcome: called after each call with the time at which it was
+        sent and whether it was answered.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, ledger: VersionLedger | None = None
+    ) -> None:
         self.address = address
+        self.ledger = ledger or VersionLedger()
+        self.on_outcome: Callable[[float, bool], None] = _ignore_outcome
         self.outcomes: Counter[tuple[str, str]] = Counter()
         self.call_links = LinkPool(address, max_idle_links=2)
         self.poll_links = LinkPool(address, max_idle_links=8)
@@ -54,7 +63,8 @@
             body = await self._get('/rows-get', query, CALL_TIMEOUT_S)
             page = [_decode_row(row) for row in _objects(body, 'rows')]
             rows.extend(page)
-            version = _decode_version(body) if version is None else version
+            newest = self._record_versions(body, page)
+            version = newest if version is None else version
             if not body.get('more_pages') or not page:
                 return TableState(tuple(rows), version)
             start = f'{page[-1].key}\x00'
@@ -81,7 +91,7 @@
         }
         body = await self._get('/rows-feed', query, wait_s + grace_s)
         rows = tuple(_decode_row(row) for row in _objects(body, 'rows'))
-        return TableState(rows, _decode_version(body))
+        return TableState(rows, self._record_versions(body, rows))
 
     async def commit(
         self,
@@ -125,7 +135,10 @@
                 raise OutcomeUnknownError(str(error)) from error
             raise PlatformRefusedError(str(error)) from error
         if answer.status == 200:
-            return _decode_version(_decode_body(answer))
+            version = _decode_version(_decode_body(answer))
+            self.ledger.record_changes((version,))
+            self.ledger.record_newest(loop_clock(), version)
+            return version
         if answer.status == 412:
             rows = [
                 _decode_row(fields)
@@ -170,14 +183,26 @@
 
         :raises LinkError: when there is no answer.
         """
+        sent_at = loop_clock()
         try:
             answer = await pool.exchange(request, timeout_s)
         except LinkError:
             self.outcomes[path, 'unanswered'] += 1
+            self.on_outcome(sent_at, False)
             raise
         self.outcomes[path, str(answer.status)] += 1
+        self.on_outcome(sent_at, True)
         return answer
 
+    def _record_versions(
+        self, body: Mapping[str, Any], rows: Iterable[StoredRow]
+    ) -> int:
+        """Record the versions that an answer names; return the newest."""
+        version = _decode_version(body)
+        self.ledger.record_changes(row.version for row in rows)
+        self.ledger.record_newest(loop_clock(), version)
+        return version
+
 
 def _encode_head(method: str, target: str, address: str, length: int) -> bytes:
     lines = [f'{method} {target} HTTP/1.1', f'Host: {address}']
@@ -232,3 +257,7 @@
         value,
         version if isinstance(version, int) else 0,
     )
+
+
+def _ignore_outcome(sent_at: float, is_answered: bool) -> None:
+    """Ignore the outcome of a call."""
--- a/src/oriolearch/relaying.py
+++ b/src/oriolearch/relaying.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from oriolearch.core.versions import VersionLedger
 from oriolearch.ports import StoredRow, TableState
 
 OnChange = Callable[[list[StoredRow], int], None]
@@ -23,6 +24,8 @@
     :ivar rows: rows by key; removed rows stay, without a value.
     :ivar version: all changes up to this version have been applied.
     :ivar whole_version: version of the last read of the whole table.
+    :ivar current_at: when this copy last was known to be up to date, in
+        seconds.
     """
 
     def __init__(self, table: str, on_change: OnChange) -> None:
@@ -31,6 +34,7 @@
         self.rows: dict[str, StoredRow] = {}
         self.version = 0
         self.whole_version = 0
+        self.current_at = float('-inf')
         self.is_read = False
 
     def apply(
@@ -95,9 +99,18 @@
         coordinator has sent changes, and has them itself.
     :ivar must_poll: set while this host has to poll the store, since no other
         host sends it all changes.
+    :ivar is_watcher: whether this host polls on behalf of the coordinator.
+    :ivar ledger: versions of the store whose changes are known.
+    :ivar is_store_in_doubt: whether the store may answer nobody.
+    :ivar reopen_polls: called with the reason when open polls may have been
+        lost.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, ledger: VersionLedger | None = None) -> None:
+        self.ledger = ledger or VersionLedger()
+        self.reopen_polls: Callable[[str], None] = _ignore_reason
+        self.is_watcher = False
+        self.is_store_in_doubt = False
         self.mirrors: dict[str, Mirror] = {}
         self.forward: Forward = discard_rows
         self.is_primary = False
@@ -124,10 +137,15 @@
         changed = mirror.apply(state.rows, state.version, is_whole=is_whole)
         if changed:
             self.forward(table, changed, mirror.version)
+        self.ledger.settle(min(self.versions().values()))
 
-    def receive(self, message: dict[str, Any]) -> None:
+    def receive(
+        self, message: dict[str, Any], *, is_from_coordinator: bool = False
+    ) -> None:
         """Apply and forward rows that another host sent.
 
+        :param is_from_coordinator: the coordinator sent the rows to all hosts,
+            so they need not be forwarded.
         :raises ValueError: when the message is malformed.
         """
         table, rows, version = decode_rows(message)
@@ -138,9 +156,24 @@
             self.received_versions.get(table, 0), version
         )
         changed = mirror.apply(rows, version)
-        if changed:
+        self.ledger.record_changes(row.version for row in rows)
+        if changed and not is_from_coordinator:
             self.forward(table, changed, mirror.version)
 
+    def ages(self, now: float) -> dict[str, float]:
+        """Return for how long each table was not known to be up to date."""
+        return {
+            table: now - mirror.current_at
+            for table, mirror in self.mirrors.items()
+        }
+
+    def record_ages(self, now: float, ages: dict[str, float]) -> None:
+        """Record the ages of the coordinator's tables, which it relays."""
+        for table, age_s in ages.items():
+            mirror = self.mirrors.get(table)
+            if mirror is not None:
+                mirror.current_at = max(mirror.current_at, now - age_s)
+
     def start_receiving(self) -> None:
         """Record that another coordinator sends changes from now on.
 
@@ -210,5 +243,9 @@
         raise ValueError(f'malformed rows message: {error}') from error
 
 
+def _ignore_reason(reason: str) -> None:
+    """Reopen no polls."""
+
+
 def discard_rows(table: str, rows: list[StoredRow], version: int) -> None:
     """Forward changed rows to no host."""
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -172,6 +172,9 @@
         await writer.drain()
 
 
+LONG_POLL_MS = 10_000
+
+
 class Store(Server):
     """The platform's store, with switches for faults.
 
@@ -180,6 +183,8 @@
     :ivar is_closing: the connection of every call is closed unanswered.
     :ivar lost_writes: number of next writes that take effect unanswered.
     :ivar commit_delay_s: time from a write to its answer, in seconds.
+    :ivar silent_at: long polls that were sent earlier are never answered.
+    :ivar is_silent: no call is ever answered.
     :ivar calls: paths of all calls.
     :ivar polls: tables of the long polls.
     """
@@ -193,6 +198,8 @@
         self.is_closing = False
         self.lost_writes = 0
         self.commit_delay_s = 0.0
+        self.silent_at = float('-inf')
+        self.is_silent = False
         self.changed = asyncio.Event()
         self.calls: list[str] = []
         self.polls: list[str] = []
@@ -214,9 +221,15 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def swallow_long_polls(self) -> None:
+        """Never answer the long polls that are open now; serve all others."""
+        self.silent_at = asyncio.get_running_loop().time()
+
     async def handle(self, request: Request) -> Answer:
         parts = urlsplit(request.target)
         self.calls.append(parts.path)
+        if self.is_silent:
+            await asyncio.Event().wait()
         if self.is_closing:
             raise ConnectionError
         if self.is_down:
@@ -243,6 +256,7 @@
 
     async def feed(self, query: dict[str, str]) -> Answer:
         self.polls.append(query['table'])
+        sent_at = asyncio.get_running_loop().time()
         after = int(query['after'])
         if after < self.oldest:
             return 410, {}, b''
@@ -250,6 +264,9 @@
             async with asyncio.timeout(int(query['wait_ms']) / 1000):
                 while not self.newer(query['table'], after):
                     await self.changed.wait()
+        is_long = int(query['wait_ms']) >= LONG_POLL_MS
+        if self.is_silent or (is_long and sent_at <= self.silent_at):
+            await asyncio.Event().wait()
         if self.is_down:
             return 503, {}, b''
         return self.reply(rows=self.newer(query['table'], after))
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -1346,6 +1346,66 @@
     run_scenario(scenario, hosts=7)
 
 
+async def make_polls_silent(installation: Installation) -> None:
+    installation.store.swallow_long_polls()
+
+
+async def make_store_silent(installation: Installation) -> None:
+    """Let the store fall silent, and lose the coordinator meanwhile."""
+    installation.store.is_silent = True
+    await asyncio.sleep(1.5)
+    installation.kill(coordinator_host(installation))
+    await asyncio.sleep(2.5)
+    installation.store.is_silent = False
+    await asyncio.sleep(0.6)
+
+
+@pytest.mark.parametrize('fault', [make_polls_silent, make_store_silent])
+def test_open_polls_that_are_never_answered(
+    fault: Callable[[Installation], Awaitable[None]],
+) -> None:
+    """Guard against hosts that are blind while a lost poll stays open.
+
+    The coordinator and both watchers waited for 28 s for answers that were
+    lost, and hosts that read the change told nobody.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        await asyncio.sleep(1.0)
+        await fault(installation)
+        installation.store.put('op', 'config', {**CONFIG, 'version': 'r8'})
+        leaving = installation.servers[0]
+        entry = leaving.entry('draining', seq=2)
+        installation.store.put('servers', leaving.name, entry)
+        async with asyncio.timeout(CONFIG_IN_FORCE_S):
+            await wait_for_version(installation, 8)
+            for host in installation.hosts:
+                while not host.registry.entries[leaving.name].is_draining:
+                    await asyncio.sleep(0.02)
+
+    run_scenario(scenario, hosts=7)
+
+
+def test_open_polls_are_left_alone_in_calm() -> None:
+    """Guard against calls of the store that are paid for without need."""
+
+    async def scenario(installation: Installation) -> None:
+        await asyncio.sleep(2.0)
+        store = installation.store
+        store.polls.clear()
+        for number in range(6):
+            store.put(
+                'servers', 'i-1', installation.servers[1].entry(seq=number)
+            )
+            await asyncio.sleep(0.5)
+        tables = Counter(store.polls)
+        # Each change is answered to the coordinator and to a watcher or two.
+        assert tables['servers'] <= 3 * 6
+        assert tables['op'] <= 1
+
+    run_scenario(scenario, hosts=4)
+
+
 def test_upstream_that_turns_cold_in_an_outage_of_the_store() -> None:
     """Guard against full load for a cold server whose entry cannot change.
 
