--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -874,14 +874,15 @@
     ) -> None:
         if self.row_version > version:
             return
+        if self.leadership is not None and self.leadership.row == row:
+            # An attempt whose answer was slow, after another one has read its
+            # row. Two terms would grant with the same fencing tokens.
+            self._log_abandoned_term(row, 'this term has begun')
+            return
+        self.end_term('this host took over again')
         if not self.promise.may_acknowledge(row.term):
             # A successor asked for this term's end before its begin.
-            self.log.emit(
-                Event.TAKEOVER,
-                term=row.term,
-                outcome='given up',
-                reason='another host took over',
-            )
+            self._log_abandoned_term(row, 'another host took over')
             return
         self.row = row
         self.row_version = version
@@ -921,6 +922,14 @@
         ):
             self.spawn_lasting(name, start)
 
+    def _log_abandoned_term(self, row: CoordinatorRow, reason: str) -> None:
+        self.log.emit(
+            Event.TAKEOVER,
+            term=row.term,
+            outcome='given up',
+            reason=reason,
+        )
+
     async def _announce_term(
         self,
         address: str,
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -403,6 +403,45 @@
     run_scenario(scenario, hosts=2)
 
 
+def test_two_attempts_of_one_takeover_begin_one_term() -> None:
+    """Guard against two coordinators on one host that share their fences.
+
+    The answer to a takeover is slow. A second attempt fails, reads the row of
+    the first one and begins the term; the slow answer must not begin it again.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        await asyncio.sleep(1.0)
+        old = coordinator_host(installation)
+        host = next(host for host in installation.hosts if host is not old)
+        coordination = host.coordination
+        terms: list[Leadership] = []
+
+        def spawn_and_record(
+            coroutine: Coroutine[Any, Any, None], name: str | None = None
+        ) -> asyncio.Task[None]:
+            leadership = coordination.leadership
+            if leadership is not None and leadership not in terms:
+                terms.append(leadership)
+            return spawn(coroutine, name)
+
+        spawn = coordination.spawn
+        coordination.spawn = spawn_and_record  # type: ignore[method-assign]
+        coordination.rng.random = lambda: 0.5  # type: ignore[method-assign]
+        installation.store.commit_delay_s = 1.0
+        await asyncio.gather(
+            coordination.try_takeover('test'),
+            coordination.try_takeover('test'),
+        )
+        await asyncio.sleep(0.2)
+        assert coordination.leadership is not None
+        assert [term for term in terms if not term.is_over] == [
+            coordination.leadership
+        ]
+
+    run_scenario(scenario, hosts=2)
+
+
 def test_second_takeover_respects_the_coordinator_before_the_first() -> None:
     """Guard against moving keys while the last but one coordinator may act.
 
