--- a/src/oriolearch/core/ownership.py
+++ b/src/oriolearch/core/ownership.py
@@ -69,6 +69,7 @@
     :ivar planned: the next owner, until the move has been stored.
     :ivar planned_fence: fencing token of its first grant.
     :ivar revision: the first revision whose row describes this state.
+    :ivar fence_revision: the first revision whose row has the fencing token.
     :ivar is_held: whether the owner confirmed its lease.
     :ivar call: number of the call in flight, 0 for none.
     """
@@ -89,6 +90,7 @@
     planned: Incarnation | None = None
     planned_fence: int = 0
     revision: int = 1
+    fence_revision: int = 1
     is_held: bool = False
     call: int = 0
 
@@ -319,6 +321,9 @@
         # a successor may have read the move.
         if keys.planned is None or not keys.is_held or self.is_outcome_unknown:
             return False
+        if keys.fence_revision > self.stored_revision:
+            # A successor may allocate the same token.
+            return False
         if self.is_store_pending and now - self.store_started_at > SLOW_STORE_S:
             return False
         return now >= keys.due_at
@@ -368,8 +373,11 @@
         """Record that a higher fencing token made the upstream refuse."""
         for keys in self._end_call(call):
             keys.fence = self.allocate_fence()
+            if keys.planned is not None:
+                keys.planned_fence = self.allocate_fence()
             keys.due_at = now
             self._require_store(now, keys)
+            keys.fence_revision = keys.revision
 
     def record_release(
         self, now: float, call: int, transfer_token: str | None
@@ -591,6 +599,7 @@
         ),
         due_at=min(lower.due_at, upper.due_at),
         revision=max(lower.revision, upper.revision),
+        fence_revision=max(lower.fence_revision, upper.fence_revision),
     )
 
 
--- a/tests/test_key_ownership.py
+++ b/tests/test_key_ownership.py
@@ -486,6 +486,37 @@
     assert fleet.ownership.find(0).fence > grant.fence
 
 
+def test_fenced_renewal_of_a_moving_range_waits_for_the_store() -> None:
+    """Fails if a token is used that a successor can allocate too.
+
+    A coordinator that has been replaced and cannot write to the store is
+    refused by an upstream. Its next token is not stored, and the successor's
+    first tokens are the same.
+    """
+    fleet = make_running_fleet(A, B)
+    stored_fence = fleet.ownership.fence
+    assert fleet.ownership.plan_move(fleet.now, 0, 9, B)
+    for _ in range(30):
+        fleet.now += 0.1
+        for effect in fleet.ownership.step(fleet.now):
+            if isinstance(effect, Store):
+                fleet.ownership.record_store_failure(
+                    fleet.now, is_outcome_unknown=False
+                )
+            elif isinstance(effect, Grant) and effect.last == 9:
+                assert effect.fence <= stored_fence
+                fleet.ownership.record_fence_refusal(fleet.now, effect.call)
+                fleet.ownership.record_call_end(A)
+            else:
+                fleet.execute(effect)
+    next_fence = fleet.ownership.find(0).fence
+    assert next_fence > stored_fence
+    fleet.run(0.5)
+    assert fleet.owner(0) == B
+    # The other upstream needs a token above that of the renewals.
+    assert fleet.ownership.find(0).fence > next_fence
+
+
 def test_failed_store_delays_calls_for_the_move() -> None:
     """Fails if a move that is not stored leads to a grant or release."""
     fleet = make_running_fleet(A, B)
