--- a/src/oriolearch/core/ownership.py
+++ b/src/oriolearch/core/ownership.py
@@ -210,18 +210,14 @@
         return self.fence
 
     def set_upstreams(
-        self,
-        upstreams: Mapping[Incarnation, UpstreamEntry],
-        ended: Iterable[Incarnation],
+        self, upstreams: Mapping[Incarnation, UpstreamEntry]
     ) -> None:
-        """Replace the callable upstreams and add those that have ended.
+        """Replace the callable upstreams.
 
         :param upstreams: includes draining upstreams and those of a zone that
             is out of service, which must still be released.
-        :param ended: upstreams whose process is known to have ended.
         """
         self.upstreams = upstreams
-        self.ended.update(ended)
 
     def limit_predecessor_leases(self, until: float) -> None:
         """Lower the time until which leases of the predecessor may last."""
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -455,8 +455,7 @@
                 ownership = self._open_pool(now, plan.name)
             if ownership is not None:
                 ownership.set_upstreams(
-                    self.registry.callable_upstreams(plan.name),
-                    self.registry.ended,
+                    self.registry.callable_upstreams(plan.name)
                 )
 
     def _open_pool(self, now: float, pool: str) -> KeyOwnership | None:
--- a/src/oriolearch/platform/watching.py
+++ b/src/oriolearch/platform/watching.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 from oriolearch.clock import loop_clock
+from oriolearch.core.directory import UpstreamEntry
 from oriolearch.core.errors import (
     HistoryLostError,
     PlatformError,
@@ -305,7 +306,10 @@
 
 
 class PlatformWatch:
-    """Applies the rows of the operator and the servers to the registry."""
+    """Applies the rows of the operator and the servers to the registry.
+
+    :ivar deferred: rows of servers whose service is not configured yet.
+    """
 
     def __init__(
         self,
@@ -319,6 +323,7 @@
         self.registry = registry
         self.log = log
         self.upstream_names: set[str] = set()
+        self.deferred: dict[str, StoredRow] = {}
         self.operator = relay.add(OPERATOR_TABLE, self.apply_operator_rows)
         self.upstreams = relay.add(UPSTREAM_TABLE, self.apply_upstream_rows)
 
@@ -367,6 +372,7 @@
 
     def _apply_upstream_row(self, now: float, row: StoredRow) -> None:
         """Apply a row; an error must not keep the others from being applied."""
+        self.deferred.pop(row.key, None)
         try:
             if row.value is None:
                 self._remove_upstream(now, row.key, row.version)
@@ -388,6 +394,7 @@
                 routes=sum(map(len, directory.routes.values())),
                 row_version=row.version,
             )
+            self._apply_deferred()
 
     def _apply_upstream(self, now: float, row: StoredRow, value: bytes) -> None:
         try:
@@ -395,6 +402,13 @@
         except ValidationError as error:
             self._log_rejected(row, error)
             return
+        if self._is_foreign(entry):
+            self.deferred[row.key] = row
+            reason = 'is not configured; the entry before stays'
+            self._log_rejected(
+                row, ValidationError(row.key, 'service', entry.pool, reason)
+            )
+            return
         self.upstream_names.add(row.key)
         if not self.registry.put(now, entry):
             self._log_rejected(
@@ -416,6 +430,23 @@
             row_version=row.version,
         )
 
+    def _is_foreign(self, entry: UpstreamEntry) -> bool:
+        """Return whether an entry would replace one by an unknown service.
+
+        Another writer may have written it. If the service is configured later,
+        the entry is applied then.
+        """
+        directory = self.registry.directory
+        is_known = directory is None or entry.pool in directory.pools
+        return not is_known and entry.ref.name in self.registry.entries
+
+    def _apply_deferred(self) -> None:
+        deferred = list(self.deferred.values())
+        self.deferred.clear()
+        now = loop_clock()
+        for row in deferred:
+            self._apply_upstream_row(now, row)
+
     def _remove_upstream(self, now: float, name: str, version: int) -> None:
         if name not in self.upstream_names:
             return
--- a/src/oriolearch/registry.py
+++ b/src/oriolearch/registry.py
@@ -50,7 +50,8 @@
 
     :ivar directory: ``None`` until a configuration has been read.
     :ivar removed: upstreams whose entries were removed or replaced.
-    :ivar ended: runs of upstreams that a later run has replaced.
+    :ivar replaced: runs of upstreams whose entries a later run's replaced.
+        That proves no end: another writer may have written the later one.
     :ivar changed: upstreams that changed since the last notification.
     :ivar has_changed_whole: whether a change since then affects all of them.
     """
@@ -60,7 +61,7 @@
         self.zones_out: frozenset[str] = frozenset()
         self.entries: dict[str, UpstreamEntry] = {}
         self.removed: dict[Incarnation, _Removed] = {}
-        self.ended: set[Incarnation] = set()
+        self.replaced: set[Incarnation] = set()
         self.cold_until: dict[Incarnation, float] = {}
         self.is_read = False
         self.store_outage_at = float('-inf')
@@ -99,7 +100,7 @@
             return False
         if present is not None and present.ref != entry.ref:
             self._mark_removed(now, present)
-            self.ended.add(present.ref)
+            self.replaced.add(present.ref)
             self.changed.add(present.ref)
         self.removed.pop(entry.ref, None)
         self.entries[entry.ref.name] = entry
@@ -187,7 +188,7 @@
         return removed is None or not removed.is_effective
 
     def _effective_at(self, removed: _Removed) -> float:
-        if removed.entry.ref in self.ended:
+        if removed.entry.ref in self.replaced:
             return removed.at
         is_unstable = removed.at - self.store_outage_at < STORE_UNSTABLE_S
         delay_s = REMOVAL_DELAY_UNSTABLE_S if is_unstable else REMOVAL_DELAY_S
--- a/tests/test_key_ownership.py
+++ b/tests/test_key_ownership.py
@@ -78,7 +78,7 @@
             RENEW_S,
             predecessor_lease_until,
         )
-        self.ownership.set_upstreams({ref: entry(ref) for ref in (A, B, C)}, ())
+        self.ownership.set_upstreams({ref: entry(ref) for ref in (A, B, C)})
 
     def run(self, for_s: float, step_s: float = 0.05) -> None:
         end = self.now + for_s
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -803,6 +803,34 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize('service', ['nobody', 'orders'])
+def test_entry_over_that_of_a_running_server_does_not_end_it(
+    service: str,
+) -> None:
+    """Guard against keys that are granted on while their server holds them.
+
+    Another writer's entry with a later start lies over a server's row. It
+    proves nothing, so the keys stay or are released by the server.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        server, other = installation.servers
+        held = [key for key in KEYS if server.holds(key)]
+        assert held
+        foreign = {**server.entry(), 'born': 2000}
+        foreign['info'] = {**foreign['info'], 'service': service}
+        installation.store.put('servers', server.name, foreign)
+        ends_at = lease_clock() + 1.5
+        while lease_clock() < ends_at:
+            assert not any(
+                server.holds(key) and other.holds(key) for key in held
+            )
+            await asyncio.sleep(0.002)
+        await installation.wait_until_all_served()
+
+    run_scenario(scenario)
+
+
 def test_entry_of_an_earlier_incarnation_is_ignored() -> None:
     """Guard against a delayed write that marks a running server as ended.
 
@@ -816,7 +844,7 @@
         await asyncio.sleep(0.3)
         registry = installation.hosts[0].registry
         assert registry.entries[server.name].ref.started == 1000
-        assert not registry.ended
+        assert not registry.replaced
 
     run_scenario(scenario)
 
