--- a/src/oriolearch/core/ownership.py
+++ b/src/oriolearch/core/ownership.py
@@ -113,7 +113,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """Lease keys to an upstream for ``lease_s`` from the call's arrival."""
+    """Lease keys to an upstream for ``lease_s`` from the call's arrival.
+
+    :param is_renewal: whether the upstream has confirmed a lease of the keys.
+    """
 
     call: int
     upstream: UpstreamEntry
@@ -122,6 +125,7 @@
     fence: int
     lease_s: float
     transfer_token: str | None
+    is_renewal: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -535,6 +539,7 @@
             keys.fence,
             self.lease_s,
             keys.transfer_token,
+            keys.is_held,
         )
 
     def _begin_call(self, keys: KeyRange, upstream: Incarnation) -> int:
--- a/src/oriolearch/platform/wire.py
+++ b/src/oriolearch/platform/wire.py
@@ -6,6 +6,7 @@
 from oriolearch.adapters.caller_links import IncomingRequest
 from oriolearch.adapters.upstream_links import (
     HOP_BY_HOP_HEADERS,
+    UNLIMITED_IDLE_S,
     HttpResponse,
     LinkPool,
 )
@@ -94,10 +95,17 @@
 
 
 class GrantCalls:
-    """Grants key ranges to upstreams, releases them and probes upstreams."""
+    """Grants key ranges to upstreams, releases them and probes upstreams.
+
+    An upstream may repeat an answer when the next call arrives, and answers to
+    these calls name no call. So a call whose answer changes who may hold keys
+    gets a connection that has carried none. A repeated answer to a renewal
+    passes for that to the next renewal, which only delays what it would tell.
+    """
 
     def __init__(self) -> None:
         self.pools: dict[str, LinkPool] = {}
+        self.probe_pools: dict[str, LinkPool] = {}
 
     async def grant(self, call: Grant) -> None:
         """Grant a key range.
@@ -115,7 +123,13 @@
         }
         if call.transfer_token is not None:
             body['handover'] = call.transfer_token
-        answer = await self._post(call.upstream, '/grant', body, CALL_TIMEOUT_S)
+        answer = await self._post(
+            call.upstream,
+            '/grant',
+            body,
+            CALL_TIMEOUT_S,
+            is_repeated=call.is_renewal,
+        )
         _raise_unless_ok(call.upstream, answer)
 
     async def release(self, call: Release) -> str | None:
@@ -149,7 +163,7 @@
             f'Host: {call.upstream.address}\r\n'
             f'Target-Instance: {call.upstream.ref.name}\r\n\r\n'
         )
-        answer = await self._pool(call.upstream).exchange(
+        answer = await self._probe_pool(call.upstream).exchange(
             head.encode(),
             CALL_TIMEOUT_S,
         )
@@ -164,13 +178,30 @@
             self.pools[upstream.address] = pool
         return pool
 
+    def _probe_pool(self, upstream: UpstreamEntry) -> LinkPool:
+        """Return connections for probes only.
+
+        The repeated answer to a grant would pass for that to a probe.
+        """
+        pool = self.probe_pools.get(upstream.address)
+        if pool is None:
+            pool = LinkPool(upstream.address, max_idle_links=1)
+            self.probe_pools[upstream.address] = pool
+        return pool
+
     async def _post(
         self,
         upstream: UpstreamEntry,
         path: str,
         body: dict[str, Any],
         timeout_s: float,
+        *,
+        is_repeated: bool = False,
     ) -> HttpResponse:
+        """Send a call.
+
+        :param is_repeated: the answer may be that to an earlier call.
+        """
         pool = self._pool(upstream)
         content = json.dumps(body).encode()
         head = (
@@ -179,7 +210,11 @@
             'Content-Type: application/json\r\n'
             f'Content-Length: {len(content)}\r\n\r\n'
         )
-        return await pool.exchange(head.encode() + content, timeout_s)
+        return await pool.exchange(
+            head.encode() + content,
+            timeout_s,
+            max_idle_s=UNLIMITED_IDLE_S if is_repeated else 0,
+        )
 
 
 def _raise_unless_ok(upstream: UpstreamEntry, answer: HttpResponse) -> None:
