--- a/src/oriolearch/placing.py
+++ b/src/oriolearch/placing.py
@@ -27,6 +27,10 @@
 # taken to be unreachable.
 DISPATCH_TIMEOUT_S = 0.4
 HEARTBEAT_PERIOD_S = 0.1  # between heartbeats while a request is queued
+# A host with requests here shows this often that it is alive. One that sends
+# nothing for the time after that is lost, and its reservations are released.
+CLIENT_HEARTBEAT_S = 0.5
+CLIENT_TIMEOUT_S = 2.0
 RECONNECT_DELAY_S = 0.5  # delay before an unreachable host is tried again
 MAX_KEPT_SUBJECTS = 10_000  # upstreams whose dispatching host is remembered
 
@@ -212,7 +216,10 @@
         self.local_dispatch.servers.add(self)
         try:
             while True:
-                self._handle_message(await self.link.receive(None))
+                # A connection can fall silent without an end. Only one with
+                # reservations matters, and only then the host sends.
+                limit_s = CLIENT_TIMEOUT_S if self.requests else None
+                self._handle_message(await self.link.receive(limit_s))
         finally:
             self.local_dispatch.servers.discard(self)
             for pool, request in self.requests.values():
@@ -226,6 +233,8 @@
             self.link.send({'kind': 'beat'})
 
     def _handle_message(self, message: Message) -> None:
+        if message['kind'] == 'beat':
+            return
         number = int(message['id'])
         if message['kind'] == 'place':
             pool = str(message['pool'])
@@ -283,12 +292,18 @@
 
 
 class DispatchClient:
-    """Reserves capacity through one other host."""
+    """Reserves capacity through one other host.
+
+    :ivar pending: requests without a decision, by number.
+    :ivar held: numbers of the reservations that are not released.
+    """
 
     def __init__(self, address: str) -> None:
         self.address = address
         self.link: HostLink | None = None
         self.pending: dict[int, ReservationFuture] = {}
+        self.held: set[int] = set()
+        self.sent_at = 0.0
         self.request_numbers = itertools.count(1)
         self.last_contact_at = 0.0
         self.avoid_until = 0.0
@@ -320,7 +335,7 @@
         if not self.pending:
             self.last_contact_at = loop_clock()
         self.pending[number] = future
-        link.send(encode_request(number, pool, request, loop_clock()))
+        self._send(encode_request(number, pool, request, loop_clock()))
         try:
             return await future
         except (asyncio.CancelledError, QueuedOwnerMovedError):
@@ -329,10 +344,13 @@
         finally:
             self.pending.pop(number, None)
 
-    def drop_if_silent(self, now: float) -> None:
-        """Drop the connection if its pending requests time out."""
+    def maintain(self, now: float) -> None:
+        """Show that this host is alive; drop a connection that is silent."""
         if self.pending and now - self.last_contact_at > DISPATCH_TIMEOUT_S:
             self._disconnect()
+        is_in_use = self.pending or self.held
+        if is_in_use and now - self.sent_at >= CLIENT_HEARTBEAT_S:
+            self._send({'kind': 'beat'})
 
     def close(self) -> None:
         """Close the connection and accept no further requests."""
@@ -379,16 +397,29 @@
             return
         if future is None or not is_pending:
             return
+        self.held.add(number)
         reservation = Reservation(
             parse_incarnation(message['upstream']),
             self.address,
-            lambda result: link.send(encode_release(number, result)),
+            lambda result: self._release(link, number, result),
         )
         future.set_result(reservation)
 
+    def _release(
+        self, link: HostLink, number: int, result: AttemptResult
+    ) -> None:
+        self.held.discard(number)
+        link.send(encode_release(number, result))
+
+    def _send(self, message: Message) -> None:
+        if self.link is not None:
+            self.sent_at = loop_clock()
+            self.link.send(message)
+
     def _disconnect(self) -> None:
         link = self.link
         self.link = None
+        self.held.clear()
         self.avoid_until = loop_clock() + RECONNECT_DELAY_S
         if link is not None:
             link.close()
@@ -518,11 +549,11 @@
         for client in self.clients.values():
             client.close()
 
-    def drop_if_silent(self) -> None:
-        """Drop connections whose pending requests time out."""
+    def maintain(self) -> None:
+        """Send heartbeats, and drop connections that are silent."""
         now = loop_clock()
         for client in self.clients.values():
-            client.drop_if_silent(now)
+            client.maintain(now)
 
     async def _reserve_here(
         self,
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -105,6 +105,7 @@
         loop.add_signal_handler(signal.SIGTERM, stopped.set)
         loop.add_signal_handler(signal.SIGINT, stopped.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self.reload()  # for a signal that came before its handler
         await self.start()
         await stopped.wait()
         await self.stop()
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -1,19 +1,36 @@
 """Tests of the choice of a dispatching host."""
 
+import asyncio
 import random
 from collections import Counter
+from typing import cast
 
 import pytest
 
 from oriolearch import placing
-from oriolearch.adapters.host_links import decode_line, encode_line
+from oriolearch.adapters.host_links import (
+    HostLink,
+    Message,
+    decode_line,
+    encode_line,
+)
+from oriolearch.clock import loop_clock
 from oriolearch.core.directory import Incarnation
 from oriolearch.core.dispatching import QueuedRequest, Shortage
+from oriolearch.core.errors import PeerError
 from oriolearch.placing import (
+    CLIENT_HEARTBEAT_S,
+    CLIENT_TIMEOUT_S,
+    AttemptResult,
+    DispatchClient,
+    DispatchServer,
+    EndKind,
     LocalDispatch,
     ReservationRouter,
     decode_refusal,
     encode_refusal,
+    encode_release,
+    encode_request,
 )
 
 OWNERS = [Incarnation(f'i-{number}', 1) for number in range(60)]
@@ -114,3 +131,72 @@
     """Guard against a connection that ends on hosts of two versions."""
     refusal = decode_refusal({'after': 0.5, 'shortage': [1, 2]})
     assert refusal.shortage is None
+
+
+class FakeLink:
+    """A connection to another host that falls silent after some messages."""
+
+    def __init__(self, *messages: Message) -> None:
+        self.address = 'h2'
+        self.messages = list(messages)
+        self.limits: list[float | None] = []
+        self.sent: list[Message] = []
+
+    async def receive(self, timeout_s: float | None) -> Message:
+        self.limits.append(timeout_s)
+        if self.messages:
+            return self.messages.pop(0)
+        raise PeerError(self.address, 'silent')
+
+    def send(self, message: Message) -> None:
+        self.sent.append(message)
+
+
+@pytest.mark.parametrize(
+    ('is_completed', 'limit_s'), [(False, CLIENT_TIMEOUT_S), (True, None)]
+)
+def test_reservations_end_with_a_silent_connection(
+    monkeypatch: pytest.MonkeyPatch, is_completed: bool, limit_s: float | None
+) -> None:
+    """Guard against capacity that is taken for good by a host that is lost.
+
+    A connection without reservations may be silent for as long as it likes.
+    """
+    withdrawn: list[str] = []
+    dispatch = LocalDispatch()
+    monkeypatch.setattr(dispatch, 'submit', lambda *call: None)
+    monkeypatch.setattr(dispatch, 'complete', lambda *call: None)
+    monkeypatch.setattr(
+        dispatch, 'withdraw', lambda pool, request: withdrawn.append(pool)
+    )
+    request = QueuedRequest('z1', 1, 1.0, 2.0)
+    place = encode_request(7, 'orders', request, 0.0)
+    done = encode_release(7, AttemptResult(EndKind.OTHER))
+    link = FakeLink(place, *([done] if is_completed else []), {'kind': 'beat'})
+
+    async def run() -> None:
+        server = DispatchServer(dispatch, cast(HostLink, link))
+        with pytest.raises(PeerError):
+            await server.run()
+
+    asyncio.run(run())
+    assert link.limits[-1] == limit_s
+    assert withdrawn == ([] if is_completed else ['orders'])
+
+
+def test_host_with_reservations_shows_that_it_is_alive() -> None:
+    """Guard against reservations that end while their requests run."""
+
+    async def run() -> None:
+        client = DispatchClient('h2')
+        link = FakeLink()
+        client.link = cast(HostLink, link)
+        begun_at = loop_clock()
+        client.maintain(begun_at + 1)
+        assert not link.sent
+        client.held.add(1)
+        client.maintain(begun_at + 2)
+        assert link.sent == [{'kind': 'beat'}]
+        assert CLIENT_HEARTBEAT_S * 3 < CLIENT_TIMEOUT_S
+
+    asyncio.run(run())
