--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -195,7 +195,7 @@
             now = loop.time()
             self.registry.apply_due_removals(now)
             self.polls.run(now)
-            self.forwarder.reservation_router.drop_if_silent()
+            self.forwarder.reservation_router.maintain()
             if ticks % SWEEP_PERIOD_TICKS == 0:
                 self._run_housekeeping(now)
 
