--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -28,8 +28,9 @@
     load_settings,
 )
 from oriolearch.platform.store import StoreClient
-from oriolearch.platform.watching import PlatformWatch, PollReview
+from oriolearch.platform.watching import PlatformWatch
 from oriolearch.platform.wire import GrantCalls, PlatformCodec
+from oriolearch.polling import PollReview
 from oriolearch.probing import ColdProbes
 from oriolearch.registry import Registry
 from oriolearch.relaying import Relay
@@ -78,7 +79,14 @@
         self.readiness = CallerListener(self._answer_readiness)
         self.servers: list[asyncio.Server] = []
         self.metrics = CallerListener(self._answer_metrics)
-        self.polls = PollReview((), self.relay, self.log)
+        self.table_watches = PlatformWatch(
+            self.store,
+            self.relay,
+            self.registry,
+            self.log,
+        ).table_watches(is_first_start=settings.is_first_start)
+        self.polls = PollReview(self.table_watches, self.relay, self.log)
+        self.store.on_outcome = self.polls.record_outcome
         self.is_stopping = False
         self.has_been_ready = False
         self.coordination = Coordination(
@@ -136,18 +144,7 @@
                 backlog=ACCEPT_BACKLOG,
             )
             self.servers.append(server)
-        watch = PlatformWatch(
-            self.store,
-            self.relay,
-            self.registry,
-            self.log,
-        )
-        table_watches = watch.table_watches(
-            is_first_start=settings.is_first_start
-        )
-        self.polls = PollReview(table_watches, self.relay, self.log)
-        self.store.on_outcome = self.polls.record_outcome
-        for table_watch in table_watches:
+        for table_watch in self.table_watches:
             name = f'watch of {table_watch.table}'
             self.coordination.spawn_lasting(name, table_watch.run)
         probes = ColdProbes(
