--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -12,6 +12,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import replace
+from itertools import chain
 from pathlib import Path
 from typing import Any
 
@@ -55,7 +56,7 @@
 FIRST_PORT, END_PORT = 20000, 32000
 # Test runs that overlap begin at different ports.
 _START_PORT = FIRST_PORT + os.getpid() % 1000 * 11
-PORTS = iter((*range(_START_PORT, END_PORT), *range(FIRST_PORT, _START_PORT)))
+PORTS = chain(range(_START_PORT, END_PORT), range(FIRST_PORT, _START_PORT))
 
 
 def free_port() -> int:
