Log and count the rate limits that upstreams name

The logs could not tell whether a limit was not read at all or known to single hosts only. The header is decoded once, each change of what a host knows is logged with the request that told it (444, notice_changed), and a gauge shows how many upstreams have a limit. Nothing acts on it yet.

--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -331,6 +331,13 @@
         ('upstream', 'cold_for_s'),
         'A probe in an outage of the store found an upstream cold.',
     )
+    NOTICE_CHANGED = EventKind(
+        444,
+        logging.INFO,
+        ('upstream', 'rate_limit', 'previous', 'source', 'age_s', 'request'),
+        'An upstream reported another rate limit, or none, to this host or to '
+        'the host that is named as the source.',
+    )
     LEASES_LAPSED = EventKind(
         441,
         logging.WARNING,
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -25,6 +25,7 @@
 from oriolearch.core.dispatching import Dispatcher, QueuedRequest, Shortage
 from oriolearch.core.keyranges import OwnerMap
 from oriolearch.core.lapses import LapsedLeases
+from oriolearch.core.notices import NO_LIMIT, Notice, NoticeBoard
 from oriolearch.core.retries import Budget
 from oriolearch.clock import lease_clock, loop_clock
 from oriolearch.eventlog import Event, EventLog
@@ -202,6 +203,7 @@
         self.pool_shares: dict[str, dict[str, float]] = {}
         self.count_key: Callable[[str, int], None] = _ignore_key
         self.hears_coordinator: Callable[[], bool] = _is_always_in_contact
+        self.notices = NoticeBoard()
         self.lapsed_leases = LapsedLeases()
         self.latencies = Latencies()
         self.stops_at: float | None = None
@@ -302,6 +304,8 @@
 
     def _refresh_upstream(self, now: float, ref: Incarnation) -> None:
         entry = self.registry.find_callable(ref)
+        if entry is None:
+            self.notices.forget(ref)
         for pool, dispatcher in self.local_dispatch.dispatchers.items():
             if entry is None or entry.pool != pool:
                 dispatcher.remove_upstream(ref)
@@ -679,8 +683,7 @@
         latency_s: float,
     ) -> tuple[Reply | None, AttemptResult]:
         facts = self.codec.decode_facts(answer)
-        if facts.cold_for_s:
-            self._record_cold(entry.ref, facts.cold_for_s)
+        self._record_facts(job, entry.ref, facts)
         if facts.is_not_run:
             job.last_failure = f'not run, {answer.status}'
             self.log.emit(
@@ -720,6 +723,36 @@
     def _record_cold(self, ref: Incarnation, cold_for_s: float) -> None:
         self.registry.record_cold(loop_clock(), ref, cold_for_s)
 
+    def _record_facts(
+        self, job: _ForwardedRequest, ref: Incarnation, facts: AnswerFacts
+    ) -> None:
+        """Record what an answer reports on its upstream."""
+        if facts.cold_for_s:
+            self._record_cold(ref, facts.cold_for_s)
+        if facts.rate_limit is not None:
+            notice = Notice(loop_clock(), facts.rate_limit)
+            request_id = job.head.request_id.decode('latin-1')
+            self._record_notice(ref, notice, 'answer', request_id)
+
+    def _record_notice(
+        self,
+        ref: Incarnation,
+        notice: Notice,
+        source: str,
+        request_id: str | None = None,
+    ) -> None:
+        previous = self.notices.rate_limit(ref)
+        if self.notices.record(ref, notice):
+            self.log.emit(
+                Event.NOTICE_CHANGED,
+                upstream=ref.text(),
+                rate_limit=_limit_or_none(notice.rate_limit),
+                previous=_limit_or_none(previous),
+                source=source,
+                age_s=round(loop_clock() - notice.observed_at, 4),
+                request=request_id,
+            )
+
     def _may_retry(self, job: _ForwardedRequest) -> bool:
         if job.route.repeat is Repeat.ONCE:
             return False
@@ -757,6 +790,10 @@
                 self.link_pools.pop(address).close()
 
 
+def _limit_or_none(rate_limit: float) -> float | None:
+    return None if rate_limit == NO_LIMIT else rate_limit
+
+
 def _max_idle_s(repeat: Repeat) -> float:
     return MAX_IDLE_ONCE_S if repeat is Repeat.ONCE else UNLIMITED_IDLE_S
 
--- a/src/oriolearch/gauges.py
+++ b/src/oriolearch/gauges.py
@@ -9,6 +9,7 @@
 from oriolearch.core.directory import KEY_COUNT
 from oriolearch.core.dispatching import Dispatcher
 from oriolearch.core.keyranges import OwnerMap
+from oriolearch.core.notices import NoticeBoard
 from oriolearch.core.ownership import KeyOwnership
 from oriolearch.core.retries import Budget
 
@@ -37,6 +38,14 @@
             'Upstreams in their cold start.',
             _each(dispatchers, _cold),
         ),
+        (
+            'limited_upstreams',
+            'Upstreams that named a limit on the rate of requests.',
+            _each(
+                dispatchers,
+                lambda dispatcher: _limited(dispatcher, forwarder.notices),
+            ),
+        ),
         (
             'second_sends_left',
             'Second sends that may be made now.',
@@ -128,6 +137,10 @@
     )
 
 
+def _limited(dispatcher: Dispatcher, notices: NoticeBoard) -> int:
+    return sum(ref in notices.rate_limits for ref in dispatcher.upstreams)
+
+
 def _retries_left(budget: Budget) -> float:
     return round(budget.tokens, 3)
 
--- a/src/oriolearch/platform/wire.py
+++ b/src/oriolearch/platform/wire.py
@@ -1,6 +1,7 @@
 """The platform's request and answer headers, and the calls for grants."""
 
 import json
+import re
 from typing import Any
 
 from oriolearch.adapters.caller_links import IncomingRequest
@@ -11,6 +12,7 @@
     LinkPool,
 )
 from oriolearch.core.directory import KEY_COUNT, UpstreamEntry
+from oriolearch.core.notices import NO_LIMIT
 from oriolearch.core.ownership import CALL_TIMEOUT_S, Grant, Probe, Release
 from oriolearch.core.errors import GrantRefusedError
 from oriolearch.ports import AnswerFacts, RequestHead
@@ -25,6 +27,7 @@
 COLD_MS = b'warmup-ms'
 KEY = b'shard-key'
 HANDOVER = b'handover'
+RATE_LIMIT = b'server-limit'
 DEFAULT_TIMEOUT_S = 30.0  # for callers that send no timeout header
 # A release is answered once the running requests for its keys have ended.
 RELEASE_TIMEOUT_S = 2.5
@@ -32,6 +35,7 @@
 
 _REPLACED_HEADERS = HOP_BY_HOP_HEADERS | {DEADLINE_MS, EXPECTED_NAME, b'expect'}
 _NOT_RUN_STATUSES = frozenset((400, 421, 429, 503))
+_DECIMAL = re.compile(rb'\d{1,9}(\.\d{1,9})?')
 
 
 class PlatformCodec:
@@ -82,15 +86,17 @@
             answer.status == MISDIRECTED or answer.header(NOT_RUN) is not None
         )
         load = _parse_numbers(answer.header(LOAD))
+        is_misdirected = answer.status == MISDIRECTED
         return AnswerFacts(
             is_not_run=is_not_run and answer.status in _NOT_RUN_STATUSES,
-            is_misdirected=answer.status == MISDIRECTED,
+            is_misdirected=is_misdirected,
             is_intact=(
                 (is_signed or answer.status >= 300)
                 and answer.header(b'content-encoding') is None
             ),
             load=sum(load[:2]) if len(load) > 2 else None,
             cold_for_s=_remaining_cold_s(answer),
+            rate_limit=None if is_misdirected else _parse_rate_limit(answer),
         )
 
 
@@ -249,3 +255,16 @@
 def _remaining_cold_s(answer: HttpResponse) -> float:
     cold = answer.header(COLD_MS) or b''
     return int(cold) / 1000 if cold.isdigit() else 0.0
+
+
+def _parse_rate_limit(answer: HttpResponse) -> float | None:
+    """Return the requests per second that the server takes from all hosts.
+
+    The lowest counts if there are several. An answer whose limits are all
+    malformed tells neither that there is a limit nor that there is none.
+    """
+    texts = [text for name, text in answer.headers if name == RATE_LIMIT]
+    if not texts:
+        return NO_LIMIT
+    limits = (float(text) for text in texts if _DECIMAL.fullmatch(text))
+    return min(limits, default=None)
--- a/src/oriolearch/ports.py
+++ b/src/oriolearch/ports.py
@@ -197,6 +197,9 @@
     :param is_intact: the answer is unaltered, as the upstream made it.
     :param load: running and queued requests at the upstream, if reported.
     :param cold_for_s: remaining cold start of the upstream, in seconds.
+    :param rate_limit: requests per second that the upstream takes from all
+        hosts together, infinite without a limit; ``None`` when the answer
+        doesn't tell.
     """
 
     is_not_run: bool
@@ -204,3 +207,4 @@
     is_intact: bool
     load: int | None
     cold_for_s: float
+    rate_limit: float | None
