Add a failing test of limits that upstreams name

Three hosts under load send 133 requests in 4 s to an upstream that names a limit of 4 a second, 29 are allowed; so do hosts after a restart and after the loss of the coordinator.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -316,7 +316,10 @@
     :ivar fences: first key, last key and fencing token of all grants so far.
     :ivar ran: ids of the requests that it ran.
     :ivar misdirected: number of requests for keys that it did not hold.
+    :ivar arrivals: times at which requests arrived.
     :ivar cold_ms: remaining cold start that it reports.
+    :ivar rate_limit: requests per second from all hosts that it names in its
+        answers.
     :ivar is_plain: whether its service has no keys and rejects grants.
     """
 
@@ -328,7 +331,9 @@
         self.fences: list[tuple[int, int, int]] = []
         self.ran: list[str] = []
         self.misdirected = 0
+        self.arrivals: list[float] = []
         self.cold_ms = 0
+        self.rate_limit = ''
         self.is_plain = False
         self.loop = asyncio.get_running_loop()
 
@@ -396,8 +401,11 @@
         return 200, {'Handover': f'from-{self.name}'}, b''
 
     def run(self, request: Request) -> Answer:
+        self.arrivals.append(self.loop.time())
         request_id = request.headers['attempt-id']
         echoed = {'Attempt-Id': request_id}
+        if self.rate_limit:
+            echoed['Server-Limit'] = self.rate_limit
         if not self.holds(int(request.headers['shard-key'])):
             self.misdirected += 1
             return 421, {**echoed, 'Not-Executed': '1'}, b''
