Keep to the rate limits of upstreams, over all hosts together

Its class is wider: what an upstream tells one host stayed with that host. Hosts learn a limit up to 8.5 s after the first one, a host that restarts 7 s after its start, and hosts that are cut off from each other would each use all of it.

Change: hosts exchange notices of upstreams, along with reservations and through the coordinator. The dispatching host spends the limit; hosts that replace it, or that hear no coordinator, spend a part. Requests that the limit leaves no room for are refused at once, and keys move to other upstreams.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -30,13 +30,18 @@
     PlatformError,
 )
 from oriolearch.core.keyranges import OwnedRange
+from oriolearch.core.notices import NoticeChannel
 from oriolearch.core.witnesses import Promise
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.forwarding import Forwarder
 from oriolearch.granting import GrantPort
 from oriolearch.leadership import Leadership
 from oriolearch.members import Member, choose_peers, is_isolated
-from oriolearch.placing import DispatchServer
+from oriolearch.placing import (
+    DispatchServer,
+    add_notices,
+    receive_notices,
+)
 from oriolearch.ports import (
     LONG_POLL_GRACE_S,
     SharedStore,
@@ -174,6 +179,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         forwarder.count_key = self.count_key
         forwarder.hears_coordinator = self.hears_coordinator
+        forwarder.reservation_router.is_list_confirmed = self.hears_coordinator
 
     def count_key(self, pool: str, key: int) -> None:
         """Count a request for a key."""
@@ -495,7 +501,10 @@
             self.failed_connects += 1
             return error.reason
         self.failed_connects = 0
-        reporter = self.spawn_lasting('report', partial(self._report, link))
+        channel = self.forwarder.local_dispatch.open_channel(row.address)
+        reporter = self.spawn_lasting(
+            'report', partial(self._report, link, channel)
+        )
         self.relay.start_receiving()
         try:
             link.send(
@@ -512,6 +521,7 @@
             while row is self.row or self.row is None:
                 message = await link.receive(CONTACT_TIMEOUT_S)
                 self._handle_message(row, message)
+                receive_notices(channel, message)
                 self._update_polling(link, message)
                 self._acknowledge(link, message)
         except (PeerError, ValueError) as error:
@@ -651,10 +661,11 @@
             owners.update(ranges)
         self.forwarder.recheck_queued_requests(pool)
 
-    async def _report(self, link: HostLink) -> None:
+    async def _report(self, link: HostLink, channel: NoticeChannel) -> None:
         while True:
             await asyncio.sleep(REPORT_PERIOD_S)
-            link.send(self._make_report())
+            refs = self.forwarder.refs_with_recent_requests()
+            link.send(add_notices(channel, self._make_report(), refs))
 
     def _make_report(self) -> Message:
         return {
@@ -731,6 +742,7 @@
             float(hello['capacity']),
             str(hello['run']),
         )
+        channel = self.forwarder.local_dispatch.open_channel(address)
         leadership.add_member(link, member)
         if hello.get('ready'):
             leadership.members.set_ready(link)
@@ -742,10 +754,19 @@
         try:
             while not leadership.is_over:
                 report = await link.receive(CONTACT_TIMEOUT_S)
+                receive_notices(channel, report)
                 self._handle_report(leadership, link, member, report)
+                self._send_notices(link, channel)
         finally:
             leadership.members.drop(link)
 
+    def _send_notices(self, link: HostLink, channel: NoticeChannel) -> None:
+        """Send what upstreams reported to any host."""
+        refs = self.forwarder.notices.notices
+        message = add_notices(channel, {'kind': 'notices'}, refs)
+        if 'notices' in message:
+            link.send(message)
+
     def _handle_report(
         self,
         leadership: Leadership,
--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -15,10 +15,11 @@
 
 import random
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from oriolearch.core.directory import Incarnation, PoolPlan, UpstreamEntry
+from oriolearch.core.pacing import TokenBucket
 
 # Requests beyond its slots that an upstream queues itself, so that no slot is
 # idle until this host sends the next request.
@@ -112,6 +113,8 @@
     :ivar avoided_until: until then, other upstreams are chosen where there are
         any, because requests failed.
     :ivar last_contact_at: time of its last answer of any kind.
+    :ivar cold_tokens: limits requests during its cold start.
+    :ivar limit_tokens: limits requests to the rate that it has named.
     :ivar recent: times of the assignments in the last second.
     :ivar is_listed: whether the store lists it; if not, it is kept until its
         requests have ended.
@@ -128,8 +131,8 @@
     failures: int = 0
     last_contact_at: float = 0.0
     cold_until: float = 0.0
-    cold_tokens: float = 0.0
-    cold_refilled_at: float = 0.0
+    cold_tokens: TokenBucket = field(default_factory=TokenBucket)
+    limit_tokens: TokenBucket = field(default_factory=TokenBucket)
     recent: deque[float] = field(default_factory=deque)
     is_usable: bool = True
     is_listed: bool = True
@@ -148,7 +151,7 @@
         """Update the end of its cold start, which may be a new one."""
         if cold_until > self.cold_until:
             if now >= self.cold_until:
-                self.cold_refilled_at = 0.0
+                self.cold_tokens.reset()
             self.cold_until = cold_until
 
     def service_share_s(self, took_s: float) -> float:
@@ -211,6 +214,10 @@
 
     :param cold_burst: requests that a cold upstream may get at once, in
         addition to its rate.
+    :param rate_limits: requests per second that upstreams take from all hosts
+        together; may change at any time.
+    :ivar rate_share: returns the part of an upstream's rate limit that this
+        dispatcher may use.
     """
 
     def __init__(
@@ -218,9 +225,12 @@
         plan: PoolPlan,
         rng: random.Random,
         cold_burst: float = 1.0,
+        rate_limits: Mapping[Incarnation, float] | None = None,
     ) -> None:
         self.plan = plan
         self.rng = rng
+        self.rate_limits = {} if rate_limits is None else rate_limits
+        self.rate_share: Callable[[Incarnation], float] = _whole_limit
         self.upstreams: dict[Incarnation, UpstreamState] = {}
         self.waiting: list[QueuedRequest] = []
         self.cold_burst = cold_burst
@@ -396,14 +406,28 @@
     def recent_service_times(self, now: float) -> dict[str, float]:
         """Return the service times of upstreams that had recent requests.
 
-        Another host may dispatch the others by now, and knows better.
+        That of an upstream with a rate limit is the time in which its slots
+        serve no more than that, so that its share of the keys follows. Another
+        host may dispatch the others by now, and knows better.
         """
         return {
-            ref.text(): round(upstream.service_time_s, 4)
+            ref.text(): round(self._time_per_request_s(upstream), 4)
             for ref, upstream in self.upstreams.items()
             if upstream.last_contact_at and upstream.had_recent_requests(now)
         }
 
+    def refs_with_recent_requests(self, now: float) -> Iterator[Incarnation]:
+        """Yield the upstreams that had recent requests."""
+        for ref, upstream in self.upstreams.items():
+            if upstream.had_recent_requests(now):
+                yield ref
+
+    def _time_per_request_s(self, upstream: UpstreamState) -> float:
+        limit = self.rate_limits.get(upstream.entry.ref)
+        if limit is None:
+            return upstream.service_time_s
+        return max(upstream.service_time_s, upstream.entry.slots / limit)
+
     def record_load(
         self, now: float, upstream: UpstreamState, reported_load: int
     ) -> None:
@@ -467,23 +491,36 @@
         upstream.recent.append(now)
         request.assigned_at = now
         if now < upstream.cold_until:
-            upstream.cold_tokens -= 1
+            upstream.cold_tokens.spend()
+        if upstream.entry.ref in self.rate_limits:
+            upstream.limit_tokens.spend()
         request.assigned_to = upstream
 
     def _refill_cold(self, now: float, upstream: UpstreamState) -> None:
-        if not upstream.cold_refilled_at:
-            # Requests of the last second, assigned before the cold start was
-            # known, count as well. A second later they no longer do.
-            excess = upstream.count_recent(now) - self.plan.cold_rate
-            upstream.cold_tokens = max(
-                self.cold_burst - max(excess, 0), 1 - self.plan.cold_rate
-            )
-        else:
-            earned = (now - upstream.cold_refilled_at) * self.plan.cold_rate
-            upstream.cold_tokens = min(
-                upstream.cold_tokens + earned, self.cold_burst
-            )
-        upstream.cold_refilled_at = now
+        # Requests of the last second, assigned before the cold start was
+        # known, count as well. A second later they no longer do.
+        upstream.cold_tokens.refill(
+            now,
+            self.plan.cold_rate,
+            self.cold_burst,
+            upstream.count_recent(now),
+        )
+
+    def _wait_for_limit_s(self, now: float, upstream: UpstreamState) -> float:
+        """Return after how many seconds its rate limit allows a request."""
+        limit = self.rate_limits.get(upstream.entry.ref)
+        if limit is None:
+            upstream.limit_tokens.reset()
+            return 0.0
+        share = self.rate_share(upstream.entry.ref)
+        burst = min(upstream.entry.slots + QUEUED_AT_UPSTREAM, limit)
+        # Many hosts with small shares do not send their first requests at the
+        # same time.
+        start = max(burst * share, self.rng.random())
+        upstream.limit_tokens.refill(
+            now, limit * share, burst * share, upstream.count_recent(now), start
+        )
+        return upstream.limit_tokens.wait_s(limit * share)
 
     def _choose(
         self, now: float, request: QueuedRequest
@@ -544,8 +581,9 @@
             return False
         if now < upstream.cold_until:
             self._refill_cold(now, upstream)
-            return request.may_use_cold and upstream.cold_tokens >= 1
-        return True
+            if not request.may_use_cold or upstream.cold_tokens.is_empty:
+                return False
+        return not self.rate_limits or not self._wait_for_limit_s(now, upstream)
 
     def _is_queued_ahead(
         self, now: float, request: QueuedRequest, upstream: UpstreamState
@@ -581,6 +619,7 @@
             max(
                 upstream.expected_wait_s(now),
                 upstream.paused_until - now + upstream.service_time_s,
+                self._wait_for_limit_s(now, upstream) + upstream.service_time_s,
             )
             for upstream in usable
         )
@@ -612,6 +651,9 @@
 
     def _service_rate(self, now: float, upstream: UpstreamState) -> float:
         rate = upstream.entry.slots / upstream.service_time_s
+        limit = self.rate_limits.get(upstream.entry.ref)
+        if limit is not None:
+            rate = min(rate, limit * self.rate_share(upstream.entry.ref))
         if now < upstream.cold_until and self.plan.cold_rate:
             return min(rate, self.plan.cold_rate)
         return rate
@@ -646,6 +688,10 @@
         return [upstream] if upstream else []
 
 
+def _whole_limit(ref: Incarnation) -> float:
+    return 1.0
+
+
 def _describe_shortage(now: float, outlook: _Outlook, ahead: int) -> Shortage:
     usable = outlook.usable
     running = sum(len(upstream.running) for upstream in usable)
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import asdict
 from typing import Protocol
 
@@ -25,7 +25,7 @@
 from oriolearch.core.dispatching import Dispatcher, QueuedRequest, Shortage
 from oriolearch.core.keyranges import OwnerMap
 from oriolearch.core.lapses import LapsedLeases
-from oriolearch.core.notices import NO_LIMIT, Notice, NoticeBoard
+from oriolearch.core.notices import NO_LIMIT, Facts, Notice
 from oriolearch.core.retries import Budget
 from oriolearch.clock import lease_clock, loop_clock
 from oriolearch.eventlog import Event, EventLog
@@ -193,6 +193,8 @@
         self.owners: dict[str, OwnerMap] = {}
         self.local_dispatch = LocalDispatch()
         self.local_dispatch.on_cold = self._record_cold
+        self.local_dispatch.record_notices = self.record_notices
+        self.notices = self.local_dispatch.notices
         self.reservation_router = ReservationRouter(
             address, self.local_dispatch
         )
@@ -203,7 +205,6 @@
         self.pool_shares: dict[str, dict[str, float]] = {}
         self.count_key: Callable[[str, int], None] = _ignore_key
         self.hears_coordinator: Callable[[], bool] = _is_always_in_contact
-        self.notices = NoticeBoard()
         self.lapsed_leases = LapsedLeases()
         self.latencies = Latencies()
         self.stops_at: float | None = None
@@ -254,6 +255,12 @@
             if dispatcher.plan.is_keyed
         }
 
+    def refs_with_recent_requests(self) -> Iterator[Incarnation]:
+        """Yield the upstreams to which this host dispatched recently."""
+        now = loop_clock()
+        for dispatcher in self.local_dispatch.dispatchers.values():
+            yield from dispatcher.refs_with_recent_requests(now)
+
     def recheck_queued_requests(self, pool: str) -> None:
         """Recheck queued requests after a change of owners.
 
@@ -287,7 +294,10 @@
     def _refresh_pool(self, now: float, plan: PoolPlan) -> None:
         dispatcher = self.local_dispatch.dispatchers.get(plan.name)
         if dispatcher is None:
-            dispatcher = Dispatcher(plan, self.rng, self.cold_burst)
+            dispatcher = Dispatcher(
+                plan, self.rng, self.cold_burst, self.notices.rate_limits
+            )
+            dispatcher.rate_share = self._make_rate_share(plan)
             self.local_dispatch.dispatchers[plan.name] = dispatcher
             self.retries[plan.name] = Budget(
                 self.retry_share,
@@ -302,6 +312,14 @@
             self.registry.cold_until,
         )
 
+    def _make_rate_share(
+        self, plan: PoolPlan
+    ) -> Callable[[Incarnation], float]:
+        router = self.reservation_router
+        return lambda ref: router.rate_share(
+            plan.name, ref if plan.is_keyed else None
+        )
+
     def _refresh_upstream(self, now: float, ref: Incarnation) -> None:
         entry = self.registry.find_callable(ref)
         if entry is None:
@@ -730,28 +748,32 @@
         if facts.cold_for_s:
             self._record_cold(ref, facts.cold_for_s)
         if facts.rate_limit is not None:
-            notice = Notice(loop_clock(), facts.rate_limit)
+            notice = Notice(Facts(facts.rate_limit), loop_clock())
             request_id = job.head.request_id.decode('latin-1')
-            self._record_notice(ref, notice, 'answer', request_id)
+            self.record_notices([(ref, notice)], 'answer', request_id)
 
-    def _record_notice(
+    def record_notices(
         self,
-        ref: Incarnation,
-        notice: Notice,
+        notices: Iterable[tuple[Incarnation, Notice]],
         source: str,
         request_id: str | None = None,
     ) -> None:
-        previous = self.notices.rate_limit(ref)
-        if self.notices.record(ref, notice):
-            self.log.emit(
-                Event.NOTICE_CHANGED,
-                upstream=ref.text(),
-                rate_limit=_limit_or_none(notice.rate_limit),
-                previous=_limit_or_none(previous),
-                source=source,
-                age_s=round(loop_clock() - notice.observed_at, 4),
-                request=request_id,
-            )
+        """Record what upstreams reported to this host or another one.
+
+        :param source: address of the other host, or ``answer``.
+        """
+        for ref, notice in notices:
+            previous = self.notices.facts_of(ref)
+            if self.notices.record(ref, notice):
+                self.log.emit(
+                    Event.NOTICE_CHANGED,
+                    upstream=ref.text(),
+                    rate_limit=_limit_or_none(notice.facts),
+                    previous=_limit_or_none(previous),
+                    source=source,
+                    age_s=round(loop_clock() - notice.observed_at, 4),
+                    request=request_id,
+                )
 
     def _may_retry(self, job: _ForwardedRequest) -> bool:
         if job.route.repeat is Repeat.ONCE:
@@ -790,8 +812,8 @@
                 self.link_pools.pop(address).close()
 
 
-def _limit_or_none(rate_limit: float) -> float | None:
-    return None if rate_limit == NO_LIMIT else rate_limit
+def _limit_or_none(facts: Facts) -> float | None:
+    return None if facts.rate_limit == NO_LIMIT else facts.rate_limit
 
 
 def _max_idle_s(repeat: Repeat) -> float:
--- a/src/oriolearch/placing.py
+++ b/src/oriolearch/placing.py
@@ -22,6 +22,7 @@
     UpstreamState,
 )
 from oriolearch.core.errors import OriolearchError, PeerError
+from oriolearch.core.notices import Notice, NoticeBoard, NoticeChannel
 
 # A dispatching host with pending requests that sends nothing for this long is
 # taken to be unreachable.
@@ -31,6 +32,12 @@
 # nothing for the time after that is lost, and its reservations are released.
 CLIENT_HEARTBEAT_S = 0.5
 CLIENT_TIMEOUT_S = 2.0
+# Part of an upstream's rate limit that its dispatching host uses while it hears
+# no coordinator. Another host may have been chosen by then.
+UNCONFIRMED_RATE_SHARE = 0.5
+# Part of the limit that all hosts together use which replace a dispatching
+# host that they cannot reach.
+SUBSTITUTES_RATE_SHARE = 0.25
 RECONNECT_DELAY_S = 0.5  # delay before an unreachable host is tried again
 MAX_KEPT_SUBJECTS = 10_000  # upstreams whose dispatching host is remembered
 
@@ -97,6 +104,8 @@
     """Runs the dispatchers of the upstreams that this host dispatches.
 
     :ivar on_cold: called when an upstream reports a cold start.
+    :ivar notices: what upstreams reported to this host or others.
+    :ivar record_notices: called with notices that another host sent.
     :ivar has_queued: set when a request is queued.
     """
 
@@ -104,10 +113,22 @@
         self.dispatchers: dict[str, Dispatcher] = {}
         self.decision_callbacks: dict[QueuedRequest, DecisionCallback] = {}
         self.on_cold: Callable[[Incarnation, float], None] = _ignore_cold
+        self.notices = NoticeBoard()
+        self.record_notices = self._record_notices
         self.servers: set[DispatchServer] = set()
         self.has_queued = asyncio.Event()
         self.next_heartbeat_at = 0.0
 
+    def open_channel(self, peer: str) -> NoticeChannel:
+        """Return a channel for notices to and from another host."""
+        return NoticeChannel(self.notices, self.record_notices, peer)
+
+    def _record_notices(
+        self, notices: Iterable[tuple[Incarnation, Notice]], source: str
+    ) -> None:
+        for ref, notice in notices:
+            self.notices.record(ref, notice)
+
     def submit(
         self,
         pool: str,
@@ -206,6 +227,7 @@
     def __init__(self, local_dispatch: LocalDispatch, link: HostLink) -> None:
         self.local_dispatch = local_dispatch
         self.link = link
+        self.channel = local_dispatch.open_channel(link.address)
         self.requests: dict[int, tuple[str, QueuedRequest]] = {}
 
     async def run(self) -> None:
@@ -235,6 +257,7 @@
     def _handle_message(self, message: Message) -> None:
         if message['kind'] == 'beat':
             return
+        receive_notices(self.channel, message)
         number = int(message['id'])
         if message['kind'] == 'place':
             pool = str(message['pool'])
@@ -258,10 +281,13 @@
     def _on_decided(self, number: int, request: QueuedRequest) -> None:
         if request.assigned_to is None:
             self.requests.pop(number, None)
-            self.link.send(encode_refusal(number, request))
-            return
-        ref = request.assigned_to.entry.ref.text()
-        self.link.send({'kind': 'go', 'id': number, 'upstream': ref})
+            message = encode_refusal(number, request)
+            refs = [request.owner] if request.owner else []
+        else:
+            refs = [request.assigned_to.entry.ref]
+            text = refs[0].text()
+            message = {'kind': 'go', 'id': number, 'upstream': text}
+        self.link.send(add_notices(self.channel, message, refs))
 
 
 class Reservation:
@@ -298,8 +324,10 @@
     :ivar held: numbers of the reservations that are not released.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, local_dispatch: LocalDispatch) -> None:
         self.address = address
+        self.local_dispatch = local_dispatch
+        self.channel = local_dispatch.open_channel(address)
         self.link: HostLink | None = None
         self.pending: dict[int, ReservationFuture] = {}
         self.held: set[int] = set()
@@ -335,7 +363,9 @@
         if not self.pending:
             self.last_contact_at = loop_clock()
         self.pending[number] = future
-        self._send(encode_request(number, pool, request, loop_clock()))
+        message = encode_request(number, pool, request, loop_clock())
+        refs = self._refs_of(pool, request.owner)
+        self._send(add_notices(self.channel, message, refs))
         try:
             return await future
         except (asyncio.CancelledError, QueuedOwnerMovedError):
@@ -344,6 +374,15 @@
         finally:
             self.pending.pop(number, None)
 
+    def _refs_of(
+        self, pool: str, owner: Incarnation | None
+    ) -> Iterable[Incarnation]:
+        """Return the upstreams that may serve a request."""
+        if owner is not None:
+            return (owner,)
+        dispatcher = self.local_dispatch.dispatchers.get(pool)
+        return dispatcher.upstreams if dispatcher else ()
+
     def maintain(self, now: float) -> None:
         """Show that this host is alive; drop a connection that is silent."""
         if self.pending and now - self.last_contact_at > DISPATCH_TIMEOUT_S:
@@ -373,6 +412,7 @@
             self.connecting = None
         link.send({'kind': 'places'})
         self.link = link
+        self.channel = self.local_dispatch.open_channel(self.address)
         loop = asyncio.get_running_loop()
         self.reader = loop.create_task(self._read(link))
 
@@ -388,6 +428,7 @@
         self.last_contact_at = loop_clock()
         if message['kind'] == 'beat':
             return
+        receive_notices(self.channel, message)
         number = int(message['id'])
         future = self.pending.get(number)
         is_pending = future is not None and not future.done()
@@ -398,18 +439,15 @@
         if future is None or not is_pending:
             return
         self.held.add(number)
-        reservation = Reservation(
-            parse_incarnation(message['upstream']),
-            self.address,
-            lambda result: self._release(link, number, result),
-        )
-        future.set_result(reservation)
+        upstream = parse_incarnation(message['upstream'])
+        channel = self.channel
 
-    def _release(
-        self, link: HostLink, number: int, result: AttemptResult
-    ) -> None:
-        self.held.discard(number)
-        link.send(encode_release(number, result))
+        def release(result: AttemptResult) -> None:
+            self.held.discard(number)
+            done = encode_release(number, result)
+            link.send(add_notices(channel, done, (upstream,)))
+
+        future.set_result(Reservation(upstream, self.address, release))
 
     def _send(self, message: Message) -> None:
         if self.link is not None:
@@ -480,6 +518,8 @@
 
     :param address: of this host, as the coordinator lists it.
     :ivar hosts: capacity of each host that dispatches, by address.
+    :ivar is_list_confirmed: returns whether the list of these hosts is
+        certainly that of all others.
     :ivar owner_hosts: dispatching hosts of keyed upstreams.
     :ivar pool_hosts: dispatching hosts of whole pools, which are hosts of the
         highest capacity. A pool is a far higher load than one upstream.
@@ -492,6 +532,7 @@
         self.owner_hosts = _Rendezvous()
         self.pool_hosts = _Rendezvous()
         self.clients: dict[str, DispatchClient] = {}
+        self.is_list_confirmed: Callable[[], bool] = _is_confirmed
         self.set_dispatching_hosts({address: 1.0})
 
     def set_dispatching_hosts(self, hosts: Mapping[str, float]) -> None:
@@ -518,6 +559,15 @@
             return self.pool_hosts.find(pool)
         return self.owner_hosts.find(owner.text())
 
+    def rate_share(self, pool: str, owner: Incarnation | None) -> float:
+        """Return the part of an upstream's rate limit that this host may use.
+
+        :param owner: the upstream; ``None`` for those of a whole pool.
+        """
+        if self.find_dispatching_host(pool, owner) != self.address:
+            return SUBSTITUTES_RATE_SHARE / len(self.hosts)
+        return 1.0 if self.is_list_confirmed() else UNCONFIRMED_RATE_SHARE
+
     async def reserve(
         self,
         pool: str,
@@ -534,7 +584,7 @@
             return await self._reserve_here(pool, request, future)
         client = self.clients.get(host)
         if client is None:
-            client = DispatchClient(host)
+            client = DispatchClient(host, self.local_dispatch)
             self.clients[host] = client
         if client.is_usable(loop_clock()):
             try:
@@ -597,6 +647,23 @@
             future.set_result(reservation)
 
 
+def add_notices(
+    channel: NoticeChannel, message: Message, refs: Iterable[Incarnation]
+) -> Message:
+    """Add the notices of upstreams that the receiver lacks to a message."""
+    notices = channel.encode(loop_clock(), refs)
+    return {**message, 'notices': notices} if notices else message
+
+
+def receive_notices(channel: NoticeChannel, message: Message) -> None:
+    if 'notices' in message:
+        channel.receive(loop_clock(), message['notices'])
+
+
+def _is_confirmed() -> bool:
+    return True
+
+
 def encode_request(
     number: int,
     pool: str,
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -2,6 +2,7 @@
 
 import random
 from dataclasses import dataclass
+from itertools import repeat
 
 import pytest
 
@@ -16,6 +17,7 @@
     QueuedRequest,
     UpstreamState,
 )
+from oriolearch.placing import SUBSTITUTES_RATE_SHARE, UNCONFIRMED_RATE_SHARE
 
 SLOTS = 2
 CAPACITY = SLOTS + QUEUED_AT_UPSTREAM
@@ -601,3 +603,124 @@
     dispatcher.release(filled[1])
     assert dispatcher.assign_freed(0.1, freed) == [late]
     assert dispatcher.waiting == [tried, other]
+
+
+RATE_WINDOW_S = 4.0  # of the platform's bound on limits
+RATE_LIMITS = (0.5, 1.7, 5.2, 12.0)
+STEP_S = 0.01
+DAY_S = 12.0
+OTHER_HOSTS = 8
+
+
+@dataclass
+class LimitedHost:
+    """A host that has more requests for a limited upstream than it takes.
+
+    :ivar share: part of the limit that it may use.
+    """
+
+    rate_limit: float
+    share: float
+    seed: int = 1
+
+    def __post_init__(self) -> None:
+        self.dispatcher = Dispatcher(
+            plan(), random.Random(self.seed), 2.0, {A: self.rate_limit}
+        )
+        self.dispatcher.set_upstreams(0.0, [entry(A)], [A], {})
+        self.dispatcher.rate_share = lambda ref: self.share
+        self.arrivals: list[float] = []
+
+    def offer(self, now: float) -> None:
+        """Offer a request, which the upstream answers at once."""
+        request = make_request(deadline=now + 0.05)
+        self.dispatcher.submit(now, request)
+        if request.assigned_to is not None:
+            self.arrivals.append(now)
+            upstream = self.dispatcher.upstreams[A]
+            self.dispatcher.record_answer(now, upstream, 0.1)
+            self.dispatcher.release(request)
+        self.dispatcher.withdraw(request)
+
+
+def offer_until(host: LimitedHost, begins_at: float, ends_at: float) -> None:
+    for step in range(int((ends_at - begins_at) / STEP_S)):
+        host.offer(begins_at + step * STEP_S)
+
+
+def most_in_a_window(arrivals: list[float]) -> int:
+    return max(
+        sum(begin <= at < begin + RATE_WINDOW_S for at in arrivals)
+        for begin in arrivals
+    )
+
+
+@pytest.mark.parametrize('rate_limit', RATE_LIMITS)
+@pytest.mark.parametrize(
+    'shares',
+    [
+        [(1.0, 1.0, DAY_S)],
+        [(1.0, 1.0, 6.0), (1.0, 6.0, DAY_S)],
+        [
+            (1.0, 1.0, DAY_S),
+            *repeat((SUBSTITUTES_RATE_SHARE / 9, 1.0, DAY_S), OTHER_HOSTS),
+        ],
+        [(1.0, 1.0, DAY_S), (UNCONFIRMED_RATE_SHARE, 3.0, DAY_S)],
+    ],
+    ids=['one', 'replaced', 'others-cut-off', 'two-lists-of-hosts'],
+)
+def test_limit_of_an_upstream_is_kept_by_all_hosts_together(
+    rate_limit: float, shares: list[tuple[float, float, float]]
+) -> None:
+    """Guard against hosts that each use the whole limit of an upstream.
+
+    Load pattern: far more requests than the limit, at each host, all the time.
+    Hosts that are cut off from the dispatching host, or that know another
+    one, dispatch the upstream as well.
+    """
+    arrivals = []
+    for seed, (share, begins_at, ends_at) in enumerate(shares):
+        host = LimitedHost(rate_limit, share, seed)
+        offer_until(host, begins_at, ends_at)
+        arrivals += host.arrivals
+    allowed = 1.5 * rate_limit * RATE_WINDOW_S + 5
+    assert most_in_a_window(arrivals) <= allowed
+    # The dispatching host uses the limit.
+    assert len(arrivals) >= rate_limit * (DAY_S - 1) - 1
+
+
+def test_request_beyond_the_limit_is_refused_at_once() -> None:
+    """Guard against requests that wait for a limit until their deadline.
+
+    Another one that comes after Retry-After is not refused.
+    """
+    host = LimitedHost(2.0, 1.0)
+    offer_until(host, 1.0, 3.0)
+    requests = [make_request(deadline=4.0) for _ in range(6)]
+    for request in requests:
+        host.dispatcher.submit(3.0, request)
+    assert requests[-1].retry_after_s
+    back_at = 3.0 + requests[-1].retry_after_s
+    retry = make_request(deadline=back_at + 1.0)
+    host.dispatcher.submit(back_at, retry)
+    assert retry.retry_after_s is None
+
+
+def test_limited_upstream_reports_the_time_that_its_limit_leaves() -> None:
+    """Guard against keys that stay with an upstream that takes few requests."""
+    host = LimitedHost(4.0, 1.0)
+    offer_until(host, 1.0, 1.5)
+    times = host.dispatcher.recent_service_times(1.5)
+    assert times == {A.text(): SLOTS / 4.0}
+
+
+def test_limit_that_was_just_learned_counts_the_last_second() -> None:
+    """Guard against a full burst beside the requests that were just sent."""
+    host = LimitedHost(5.0, 1.0)
+    limits = host.dispatcher.rate_limits
+    host.dispatcher.rate_limits = {}
+    offer_until(host, 1.0, 1.5)
+    host.dispatcher.rate_limits = limits
+    before = len(host.arrivals)
+    offer_until(host, 1.5, 2.0)
+    assert len(host.arrivals) == before
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -18,6 +18,7 @@
 from oriolearch.core.directory import Incarnation
 from oriolearch.core.dispatching import QueuedRequest, Shortage
 from oriolearch.core.errors import PeerError
+from oriolearch.core.notices import Facts, Notice
 from oriolearch.placing import (
     CLIENT_HEARTBEAT_S,
     CLIENT_TIMEOUT_S,
@@ -25,6 +26,8 @@
     DispatchClient,
     DispatchServer,
     EndKind,
+    SUBSTITUTES_RATE_SHARE,
+    UNCONFIRMED_RATE_SHARE,
     LocalDispatch,
     ReservationRouter,
     decode_refusal,
@@ -188,7 +191,7 @@
     """Guard against reservations that end while their requests run."""
 
     async def run() -> None:
-        client = DispatchClient('h2')
+        client = DispatchClient('h2', LocalDispatch())
         link = FakeLink()
         client.link = cast(HostLink, link)
         begun_at = loop_clock()
@@ -200,3 +203,64 @@
         assert CLIENT_HEARTBEAT_S * 3 < CLIENT_TIMEOUT_S
 
     asyncio.run(run())
+
+
+def test_reservations_carry_what_upstreams_reported() -> None:
+    """Guard against a dispatching host that doesn't know a limit.
+
+    There may be no coordinator that tells it: it has just been chosen, and the
+    upstream named the limit to another host.
+    """
+    owner, other = OWNERS[:2]
+
+    async def run() -> None:
+        client_dispatch, server_dispatch = LocalDispatch(), LocalDispatch()
+        client = DispatchClient('h2', client_dispatch)
+        to_server = FakeLink()
+        client.link = cast(HostLink, to_server)
+        notice = Notice(Facts(5.0), loop_clock())
+        client_dispatch.notices.record(owner, notice)
+        request = QueuedRequest('z1', 1, 1.0, 2.0, owner)
+        reserving = asyncio.create_task(
+            client.reserve('orders', request, asyncio.Future())
+        )
+        await asyncio.sleep(0)
+        reserving.cancel()
+        to_client = FakeLink(*to_server.sent)
+        server = DispatchServer(server_dispatch, cast(HostLink, to_client))
+        with pytest.raises(PeerError):
+            await server.run()
+        assert server_dispatch.notices.rate_limits == {owner: 5.0}
+
+        server_dispatch.notices.record(
+            owner, Notice(Facts(3.0), loop_clock() + 1)
+        )
+        server_dispatch.notices.record(other, Notice(Facts(9.0), 0.0))
+        server._on_decided(1, request)
+        sent = to_client.sent[-1]['notices']
+        assert [notice[:2] for notice in sent] == [[owner.text(), 3.0]]
+
+    asyncio.run(run())
+
+
+def test_hosts_with_other_lists_share_a_limit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against hosts that each take an upstream's whole limit.
+
+    Hosts that are cut off from each other choose different dispatching hosts,
+    or replace the one that they cannot reach.
+    """
+    names = {f'h{number}': 1.0 for number in range(9)}
+    chosen = make_router(names).find_dispatching_host('orders', OWNERS[0])
+    shares = {}
+    for name in names:
+        router = ReservationRouter(name, LocalDispatch())
+        router.set_dispatching_hosts(names)
+        shares[name] = router.rate_share('orders', OWNERS[0])
+        monkeypatch.setattr(router, 'is_list_confirmed', bool)
+        if name == chosen:
+            unconfirmed = router.rate_share('orders', OWNERS[0])
+    assert int(shares.pop(chosen)) == 1
+    assert sum(shares.values()) <= SUBSTITUTES_RATE_SHARE
+    assert unconfirmed <= UNCONFIRMED_RATE_SHARE
