Bound the head of a response on the own installation

A thread that reads a response of an upstream went on through interim responses without end, until the request's time limit, and kept up to 6 MB of header lines. Heads and interim responses have 64 KB together now, as on the users' platform.

test_endless_head_is_an_error failed before: the interim responses ended in a time-out, the lines passed.

--- a/src/oriolearch/adapters/heads.py
+++ b/src/oriolearch/adapters/heads.py
@@ -5,25 +5,33 @@
 200 whose ``content-length`` is missing.
 """
 
-from http.client import HTTPResponse, RemoteDisconnected
+from http.client import HTTPException, HTTPResponse, RemoteDisconnected
 from typing import Any
 
 import urllib3
 from urllib3.connection import HTTPConnection
 
 
+MAX_HEAD_BYTES = 64 * 1024  # with the interim responses before it
+
+
 class _HeadLines:
     """The stream of a connection while a head is read."""
 
     def __init__(self, stream: Any) -> None:
         self.stream = stream
+        self.size = 0
 
     def readline(self, limit: int = -1) -> bytes:
         """Return the next line, without its end if it exceeds the limit.
 
         :raises RemoteDisconnected: when the connection ends in it.
+        :raises HTTPException: when the head is too large.
         """
         line: bytes = self.stream.readline(limit)
+        self.size += len(line)
+        if self.size > MAX_HEAD_BYTES:
+            raise HTTPException('response head too large')
         if not line.endswith(b'\n') and len(line) != limit:
             raise RemoteDisconnected('connection closed in the response head')
         return line
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections.abc import Callable
+from contextlib import suppress
 
 import pytest
 
@@ -190,3 +191,29 @@
 
     with pytest.raises(AttemptError):
         run(make_pool(upstream(script)), 'a')
+
+
+@pytest.mark.parametrize(
+    'part',
+    [b'HTTP/1.1 100 Continue\r\n\r\n', b'x-filler: %s\r\n' % (b'y' * 2000)],
+    ids=['interim responses', 'header lines'],
+)
+def test_endless_head_is_an_error(
+    upstream: UpstreamFactory, part: bytes
+) -> None:
+    """Guard against a thread that reads interim responses for ever.
+
+    A head of 100 long lines took 6 MB for each request.
+    """
+
+    def script(call: ReceivedRequest) -> None:
+        call.read_body()
+        with suppress(OSError):
+            call.sock.sendall(b'HTTP/1.1 200 OK\r\n' if b'x' in part else b'')
+            for _ in range(5000):
+                call.sock.sendall(part)
+        call.sock.close()
+
+    pool = make_pool(upstream(script))
+    with pytest.raises(AttemptError, match='too large'):
+        run(pool, 'a')
