Bound the memory of all incomplete responses together

All connections to upstreams share a bound of a quarter of the host's memory; the largest incomplete response is dropped beyond it. Bodies are kept in one buffer, since small chunks took up to 25 times their size.

Ruled out: a single response, which was bounded in each of its parts.

--- a/src/oriolearch/adapters/upstream_links.py
+++ b/src/oriolearch/adapters/upstream_links.py
@@ -26,6 +26,9 @@
 MAX_RESPONSE_OVERHEAD_BYTES = 64 * 1024
 MAX_CHUNK_FRAMING_BYTES = 16  # size line and line ends of a chunk
 MAX_INTERIM_RESPONSES = 8  # 1xx responses before the final one
+MAX_CHUNKS = 65536  # of one response
+# Incomplete responses of all connections to upstreams together.
+DEFAULT_RESPONSE_MEMORY_BYTES = 48 * 1024 * 1024
 UNLIMITED_IDLE_S = float('inf')  # only the keep-alive timeout applies
 MAX_STALE_RESPONSES = 2  # of earlier requests, skipped per connection
 
@@ -101,10 +104,39 @@
         return next((text for key, text in self.headers if key == name), None)
 
 
+class ResponseMemory:
+    """Bounds the memory of all incomplete responses together.
+
+    :param limit_bytes: the largest response is dropped beyond that.
+    :ivar held_bytes: bytes of all incomplete responses.
+    """
+
+    def __init__(
+        self, limit_bytes: int = DEFAULT_RESPONSE_MEMORY_BYTES
+    ) -> None:
+        self.limit_bytes = limit_bytes
+        self.held_bytes = 0
+        self.sizes: dict[Link, int] = {}
+
+    def hold(self, link: 'Link', size: int) -> None:
+        """Record the bytes of the response that a connection receives.
+
+        A faulty upstream sends more than others, so the largest response is
+        the one to drop.
+        """
+        self.held_bytes += size - self.sizes.pop(link, 0)
+        if size:
+            self.sizes[link] = size
+        while self.held_bytes > self.limit_bytes and self.sizes:
+            largest = max(self.sizes, key=self.sizes.__getitem__)
+            largest.drop_response('the answers take too much memory')
+
+
 class Link(asyncio.Protocol):
     """One connection; carries one request at a time.
 
     :param on_lost: called when the connection is lost.
+    :param memory: bounds the responses of all connections.
     :ivar request_count: number of requests that were sent on it.
     :ivar is_unusable: the connection must not carry another request.
     :ivar is_delimited: the end of the body is known without a close.
@@ -112,14 +144,20 @@
     :ivar overhead_limit: bound on ``overhead``; grows with each chunk.
     """
 
-    def __init__(self, address: str, on_lost: Callable[['Link'], None]):
+    def __init__(
+        self,
+        address: str,
+        on_lost: Callable[['Link'], None],
+        memory: ResponseMemory | None = None,
+    ) -> None:
         self.address = address
         self.on_lost = on_lost
+        self.memory = memory or ResponseMemory()
         self.transport: Any = None
         self.parser: Any = None
         self.response = HttpResponse()
-        self.chunks: list[bytes] = []
-        self.size = 0
+        self.body = bytearray()
+        self.chunk_count = 0
         self.overhead = 0
         self.overhead_limit = 0
         self.interim_count = 0
@@ -140,8 +178,8 @@
         """Prepare for the next response."""
         self.parser = httptools.HttpResponseParser(self)
         self.response = HttpResponse()
-        self.chunks = []
-        self.size = 0
+        self.body = bytearray()
+        self.chunk_count = 0
         self.overhead = 0
         self.overhead_limit = MAX_RESPONSE_OVERHEAD_BYTES
         self.interim_count = 0
@@ -177,6 +215,8 @@
             self._fail(f'malformed answer: {error}')
         if self.overhead > self.overhead_limit:
             self._fail('head or framing of the answer too large')
+        if self.pending is not None:
+            self.memory.hold(self, len(self.body) + self.overhead)
 
     def eof_received(self) -> bool:
         """End a response that is delimited by the end of the stream."""
@@ -228,6 +268,14 @@
             self.is_unusable = True
         if self.is_unusable:
             self.close()
+        self.memory.hold(self, 0)
+
+    def drop_response(self, reason: str) -> None:
+        """Fail the pending request, and free what was received."""
+        self._fail(reason)
+        self._discard_response()
+        self.memory.hold(self, 0)
+        self.close()
 
     def close(self) -> None:
         """Reset the connection.
@@ -272,16 +320,18 @@
 
     def on_body(self, data: bytes) -> None:
         """Add a part of the body, up to the size limit."""
-        self.size += len(data)
         self.overhead -= len(data)
-        if self.size > MAX_RESPONSE_BODY_BYTES:
+        if len(self.body) + len(data) > MAX_RESPONSE_BODY_BYTES:
             self._fail('answer too large')
             return
-        self.chunks.append(data)
+        self.body += data
 
     def on_chunk_header(self) -> None:
         """Allow for the framing of another chunk."""
         self.overhead_limit += MAX_CHUNK_FRAMING_BYTES
+        self.chunk_count += 1
+        if self.chunk_count > MAX_CHUNKS:
+            self._fail('too many chunks')
 
     def on_message_complete(self) -> None:
         """Complete the pending request; skip interim (1xx) responses."""
@@ -299,7 +349,7 @@
         self._complete()
 
     def _complete(self) -> None:
-        self.response.body = b''.join(self.chunks)
+        self.response.body = bytes(self.body)
         if not self.accepts(self.response):
             self.is_unusable = True
             self.skipped_count += 1
@@ -320,8 +370,8 @@
     def _discard_response(self) -> None:
         """Discard the current response and parse the next one."""
         self.response = HttpResponse()
-        self.chunks = []
-        self.size = 0
+        self.body = bytearray()
+        self.chunk_count = 0
         self.has_head = False
 
     def _time_out(self) -> None:
@@ -353,6 +403,8 @@
 
     :param max_idle_links: maximum number of idle connections.
     :param connect_s: timeout for opening a connection.
+    :param memory: bounds the responses of several pools; by default this
+        pool's alone.
     :ivar opened_count: number of connections opened so far.
     """
 
@@ -361,8 +413,10 @@
         address: str,
         max_idle_links: int = 4,
         connect_s: float = CONNECT_TIMEOUT_S,
+        memory: ResponseMemory | None = None,
     ) -> None:
         self.address = address
+        self.memory = memory or ResponseMemory()
         self.max_idle_links = max_idle_links
         self.connect_s = connect_s
         self.idle: list[Link] = []
@@ -447,7 +501,7 @@
             host, port = split_address(self.address)
             async with asyncio.timeout(timeout_s):
                 _, link = await loop.create_connection(
-                    lambda: Link(self.address, self._remove_idle),
+                    lambda: Link(self.address, self._remove_idle, self.memory),
                     host,
                     port,
                 )
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -14,6 +14,7 @@
     Link,
     LinkError,
     LinkPool,
+    ResponseMemory,
 )
 from oriolearch.core.directory import (
     Incarnation,
@@ -200,6 +201,7 @@
         )
         self.retries: dict[str, Budget] = {}
         self.link_pools: dict[str, LinkPool] = {}
+        self.response_memory = ResponseMemory()
         self.reserving: dict[ReservationFuture, _ForwardedRequest] = {}
         self.owner_waits: dict[asyncio.Future[None], _ForwardedRequest] = {}
         self.pool_shares: dict[str, dict[str, float]] = {}
@@ -636,7 +638,7 @@
             return None, AttemptResult(EndKind.OTHER)
         link_pool = self.link_pools.get(entry.address)
         if link_pool is None:
-            link_pool = LinkPool(entry.address)
+            link_pool = LinkPool(entry.address, memory=self.response_memory)
             self.link_pools[entry.address] = link_pool
         started = loop_clock()
         left_s = job.deadline - started
--- a/src/oriolearch/gauges.py
+++ b/src/oriolearch/gauges.py
@@ -91,6 +91,11 @@
             'Hosts that share the work.',
             [({}, coordination.host_count)],
         ),
+        (
+            'held_answer_bytes',
+            'Bytes of incomplete answers of upstreams.',
+            [({}, coordination.forwarder.response_memory.held_bytes)],
+        ),
         (
             'granted_ratio',
             'Keys that their owner has confirmed, of all.',
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -46,6 +46,9 @@
 ACCEPT_BACKLOG = 512  # connections not yet accepted
 STOP_POLL_S = 0.05  # between checks whether a stopping host is idle
 STOP_MARGIN_S = 0.5  # reserve before the platform's SIGKILL
+# Share of the host's memory for incomplete answers of upstreams. The process
+# itself takes up to 60 MB on a large installation, and hosts have 200 MB.
+RESPONSE_MEMORY_SHARE = 0.25
 RETRY_BUDGET_SHARE = 0.85  # share of the platform's retry budget that hosts use
 COLD_BURST_SHARE = 0.5  # share of a cold upstream's slack that a burst may use
 # Allocations between collections; reference cycles are rare on the request
@@ -63,7 +66,6 @@
         self.registry = Registry()
         self.relay = Relay(VersionLedger())
         self.store = StoreClient(settings.store, self.relay.ledger)
-        self.grants = GrantCalls()
         self.forwarder = Forwarder(
             settings.zone,
             settings.peer_address,
@@ -72,6 +74,9 @@
             self.log,
             self.rng,
         )
+        memory = self.forwarder.response_memory
+        memory.limit_bytes = int(settings.memory_bytes * RESPONSE_MEMORY_SHARE)
+        self.grants = GrantCalls(memory)
         self.listener = CallerListener(
             self.forwarder.serve,
             self.forwarder.is_safe,
--- a/src/oriolearch/platform/settings.py
+++ b/src/oriolearch/platform/settings.py
@@ -10,6 +10,8 @@
 from oriolearch.core.errors import ValidationError
 
 MIN_CAPACITY = 0.05  # share of a processor; keeps delays bounded
+DEFAULT_MEMORY_MB = 200
+BYTES_PER_MB = 1024 * 1024
 DEFAULT_METRICS_PORT = 9464  # usual for exporters, and set in the deploy file
 PATH_VARIABLE = 'ORIOLEARCH_CONFIG'
 
@@ -51,6 +53,7 @@
         forwarder, it differs from the address that this host listens on.
     :ivar metrics_port: port where counters and latencies are served.
     :ivar capacity: CPU share multiplied by the number of cores.
+    :ivar memory_bytes: the process is killed beyond that.
     :ivar zones: region of each availability zone.
     :ivar is_first_start: whether the whole installation starts for the first
         time, some seconds before its first callers.
@@ -68,6 +71,7 @@
     store: str
     heartbeat_s: float
     capacity: float
+    memory_bytes: float
     bounds: Bounds
     is_first_start: bool
 
@@ -138,6 +142,7 @@
             source, 'heartbeat_s', fields.get('heartbeat_s', 1)
         ),
         capacity=_read_capacity(source, fields),
+        memory_bytes=_read_memory_mb(source, fields) * BYTES_PER_MB,
         bounds=_read_bounds(source, fields),
         is_first_start=_read_flag(source, fields, 'bootstrap'),
     )
@@ -163,6 +168,12 @@
     return max(capacity, MIN_CAPACITY)
 
 
+def _read_memory_mb(source: str, fields: dict[str, Any]) -> float:
+    limits = _read_section(source, fields, 'limits')
+    memory_mb = limits.get('memory_mb', DEFAULT_MEMORY_MB)
+    return _read_number(source, 'limits.memory_mb', memory_mb)
+
+
 def _read_bounds(source: str, fields: dict[str, Any]) -> Bounds:
     section = _read_section(source, fields, 'bounds')
     bounds = {
--- a/src/oriolearch/platform/wire.py
+++ b/src/oriolearch/platform/wire.py
@@ -10,6 +10,7 @@
     UNLIMITED_IDLE_S,
     HttpResponse,
     LinkPool,
+    ResponseMemory,
 )
 from oriolearch.core.directory import KEY_COUNT, UpstreamEntry
 from oriolearch.core.notices import NO_LIMIT
@@ -109,7 +110,8 @@
     passes for that to the next renewal, which only delays what it would tell.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, memory: ResponseMemory | None = None) -> None:
+        self.memory = memory or ResponseMemory()
         self.pools: dict[str, LinkPool] = {}
         self.probe_pools: dict[str, LinkPool] = {}
 
@@ -180,7 +182,9 @@
     def _pool(self, upstream: UpstreamEntry) -> LinkPool:
         pool = self.pools.get(upstream.address)
         if pool is None:
-            pool = LinkPool(upstream.address, max_idle_links=2)
+            pool = LinkPool(
+                upstream.address, max_idle_links=2, memory=self.memory
+            )
             self.pools[upstream.address] = pool
         return pool
 
@@ -191,7 +195,9 @@
         """
         pool = self.probe_pools.get(upstream.address)
         if pool is None:
-            pool = LinkPool(upstream.address, max_idle_links=1)
+            pool = LinkPool(
+                upstream.address, max_idle_links=1, memory=self.memory
+            )
             self.probe_pools[upstream.address] = pool
         return pool
 
--- a/tests/test_upstream_links.py
+++ b/tests/test_upstream_links.py
@@ -4,15 +4,18 @@
 import tracemalloc
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from typing import cast
 
 import pytest
 
 from oriolearch.adapters.upstream_links import (
     HttpResponse,
+    MAX_RESPONSE_BODY_BYTES,
     Link,
     LinkError,
     LinkPool,
     LinkRefusedError,
+    ResponseMemory,
 )
 
 REQUEST = b'GET /x HTTP/1.1\r\nhost: h\r\n\r\n'
@@ -289,6 +292,13 @@
     run_against(serve, exercise)
 
 
+class FakeFuture:
+    """A pending response that nobody awaits."""
+
+    def done(self) -> bool:
+        return True
+
+
 CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 
 
@@ -358,6 +368,57 @@
     run_against(serve, exercise)
 
 
+def test_many_endless_responses_at_once_fit_into_the_memory() -> None:
+    """Guard against a host that ends when many servers send without end.
+
+    Each response stays within its own limit; 60 of them took 240 MB, and the
+    requests of all other callers ended with the process.
+    """
+    body = b'y' * (MAX_RESPONSE_BODY_BYTES - 1000)
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with suppress(ConnectionError):
+            head = await reader.readuntil(b'\r\n\r\n')
+            if b'/small' in head:
+                writer.write(OK % b'1')
+            else:
+                writer.write(b'HTTP/1.1 200 OK\r\n\r\n' + body)
+            await writer.drain()
+            await reader.read()
+
+    async def exercise(pool: LinkPool) -> None:
+        pool.memory = ResponseMemory(MAX_PEAK_BYTES // 2)
+        tracemalloc.start()
+        endless = [
+            asyncio.create_task(pool.exchange(REQUEST, 2.0)) for _ in range(60)
+        ]
+        await asyncio.sleep(1.0)
+        small = REQUEST.replace(b'/x', b'/small')
+        assert (await pool.exchange(small, 1.0)).body == b'ok'
+        await asyncio.gather(*endless, return_exceptions=True)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        # The stand-in holds the one body that it sends to all.
+        assert peak_bytes < MAX_PEAK_BYTES
+        assert not pool.memory.held_bytes
+
+    run_against(serve, exercise)
+
+
+def test_tiny_chunks_take_no_more_memory_than_their_body() -> None:
+    """Guard against 25 bytes of memory for each byte of a body."""
+    link = Link('h:1', lambda lost: None)
+    data = CHUNKED_HEAD + b'2\r\nby\r\n' * 500_000
+    link.pending = cast(asyncio.Future[HttpResponse], FakeFuture())
+    tracemalloc.start()
+    link.data_received(data)
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert peak_bytes < MAX_RESPONSE_BODY_BYTES
+
+
 def test_small_chunks_are_a_complete_response() -> None:
     """The bound on framing must not reject a body in small chunks."""
     chunks = b'1\r\nb\r\n' * 20000
