Share the rate of a cold upstream between hosts that are cut off

A dispatching host that hears no coordinator uses half of the rate.

The test failed before: 20 requests in a second, 17 are allowed. Looked at and left: pauses after a refusal are short and known to the dispatching host; retry budgets are divided by the number of hosts; lapsed leases are refused to each host; in an outage of the store each host probes the upstreams that it dispatches.

--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass, field
 
 from oriolearch.core.directory import Incarnation, PoolPlan, UpstreamEntry
+from oriolearch.core.notices import NO_LIMIT
 from oriolearch.core.pacing import TokenBucket
 
 # Requests beyond its slots that an upstream queues itself, so that no slot is
@@ -216,8 +217,8 @@
         addition to its rate.
     :param rate_limits: requests per second that upstreams take from all hosts
         together; may change at any time.
-    :ivar rate_share: returns the part of an upstream's rate limit that this
-        dispatcher may use.
+    :ivar rate_share: returns the part of an upstream's rate limit, and of its
+        rate in a cold start, that this dispatcher may use.
     """
 
     def __init__(
@@ -499,10 +500,11 @@
     def _refill_cold(self, now: float, upstream: UpstreamState) -> None:
         # Requests of the last second, assigned before the cold start was
         # known, count as well. A second later they no longer do.
+        share = self.rate_share(upstream.entry.ref)
         upstream.cold_tokens.refill(
             now,
-            self.plan.cold_rate,
-            self.cold_burst,
+            self.plan.cold_rate * share,
+            self.cold_burst * share,
             upstream.count_recent(now),
         )
 
@@ -651,12 +653,12 @@
 
     def _service_rate(self, now: float, upstream: UpstreamState) -> float:
         rate = upstream.entry.slots / upstream.service_time_s
-        limit = self.rate_limits.get(upstream.entry.ref)
-        if limit is not None:
-            rate = min(rate, limit * self.rate_share(upstream.entry.ref))
+        limit = self.rate_limits.get(upstream.entry.ref, NO_LIMIT)
         if now < upstream.cold_until and self.plan.cold_rate:
-            return min(rate, self.plan.cold_rate)
-        return rate
+            limit = min(limit, self.plan.cold_rate)
+        if limit == NO_LIMIT:
+            return rate
+        return min(rate, limit * self.rate_share(upstream.entry.ref))
 
     def _rank(
         self,
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -17,6 +17,7 @@
     QueuedRequest,
     UpstreamState,
 )
+from oriolearch.core.notices import NO_LIMIT
 from oriolearch.placing import SUBSTITUTES_RATE_SHARE, UNCONFIRMED_RATE_SHARE
 
 SLOTS = 2
@@ -724,3 +725,26 @@
     before = len(host.arrivals)
     offer_until(host, 1.5, 2.0)
     assert len(host.arrivals) == before
+
+
+def test_two_dispatching_hosts_share_the_rate_of_a_cold_upstream() -> None:
+    """Guard against a cold upstream that two hosts send its whole rate.
+
+    Load pattern: far more requests than the rate. Hosts that are cut off from
+    each other have different lists of hosts, and choose different ones.
+    """
+    rate, slack = 10.0, 2.0
+    arrivals = []
+    for share in (1.0, UNCONFIRMED_RATE_SHARE):
+        host = LimitedHost(NO_LIMIT, share)
+        dispatcher = host.dispatcher
+        dispatcher.rate_limits = {}
+        dispatcher.plan = plan(rate)
+        dispatcher.cold_burst = slack / 2
+        dispatcher.put_upstream(0.5, entry(A), is_usable=True, cold_until=9.0)
+        offer_until(host, 1.0, 4.0)
+        arrivals += host.arrivals
+    most = max(
+        sum(begin <= at < begin + 1 for at in arrivals) for begin in arrivals
+    )
+    assert most <= 1.5 * rate + slack
