Send nothing to upstreams that leave or ask for a pause

An upstream that says in its answers that it leaves went on to get requests for as long as its entry in the store said otherwise, and one that refuses a request and names a time got the next ones after 50 ms. Nothing read either header.

Leaving is one more fact of the notices that hosts exchange. It holds at once, without the store, and for 300 s at most; keys move as from an upstream whose entry says that it drains. A pause concerns the host that was told: it sends nothing for that time, 60 s at most, and refuses at once with the time that is left, unless another upstream can serve the request.

--- a/src/oriolearch/adapters/upstream_links.py
+++ b/src/oriolearch/adapters/upstream_links.py
@@ -103,6 +103,10 @@
         """Return the value of the first header with a lower-case name."""
         return next((text for key, text in self.headers if key == name), None)
 
+    def texts(self, name: bytes) -> list[bytes]:
+        """Return the values of all headers with a lower-case name."""
+        return [text for key, text in self.headers if key == name]
+
 
 class ResponseMemory:
     """Bounds the memory of all incomplete responses together.
--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -82,6 +82,7 @@
         host that replaces an unreachable dispatching host, as it doesn't
         know how many requests the cold upstream gets.
     :param owner: the only upstream that may serve it; ``None`` for any.
+    :param avoided: upstreams that want no requests of the forwarding host.
     :ivar assigned_to: the upstream that the request is assigned to.
     :ivar retry_after_s: set when the request is refused: seconds after which
         a retry may succeed.
@@ -95,6 +96,7 @@
     owner: Incarnation | None = None
     is_upload: bool = False
     tried: frozenset[Incarnation] = frozenset()
+    avoided: frozenset[Incarnation] = frozenset()
     may_use_cold: bool = True
     assigned_to: 'UpstreamState | None' = None
     retry_after_s: float | None = None
@@ -371,7 +373,11 @@
                 request
                 for request in self.waiting
                 if request.owner == ref
-                or (request.owner is None and ref not in request.tried)
+                or (
+                    request.owner is None
+                    and ref not in request.tried
+                    and ref not in request.avoided
+                )
             ),
             key=lambda request: self._rank(now, request),
             default=None,
@@ -544,6 +550,7 @@
             )
             for upstream in self.upstreams.values()
             if upstream.entry.ref not in request.tried
+            and upstream.entry.ref not in request.avoided
             and self._has_capacity(now, request, upstream)
         }
         if not scores:
@@ -595,6 +602,7 @@
         return any(
             other.owner in {None, upstream.entry.ref}
             and upstream.entry.ref not in other.tried
+            and upstream.entry.ref not in other.avoided
             and self._rank(now, other) <= rank
             for other in self.waiting
         )
--- a/src/oriolearch/core/notices.py
+++ b/src/oriolearch/core/notices.py
@@ -22,6 +22,8 @@
 # An upstream that takes no requests at all gets one in two seconds, whose
 # answer tells when it takes more.
 MIN_RATE_LIMIT = 0.5
+# A faulty upstream that announces more is asked again after this.
+MAX_PAUSE_S = 60.0
 MAX_NOTICES = 10_000  # of upstreams that this host may not know yet
 
 Encoded = list[list[Any]]
@@ -33,9 +35,11 @@
 
     :param rate_limit: requests per second that it takes from all hosts
         together.
+    :param is_leaving: whether it is about to end and takes nothing more.
     """
 
     rate_limit: float = NO_LIMIT
+    is_leaving: bool = False
 
 
 NO_FACTS = Facts()
@@ -52,15 +56,24 @@
     observed_at: float
 
 
+_NO_NOTICE = Notice(NO_FACTS, -math.inf)
+
+
+def _observation_time(notice: Notice) -> float:
+    return notice.observed_at
+
+
 class NoticeBoard:
     """The notices of all upstreams that are known at one host.
 
     :ivar rate_limits: those of the upstreams that have one.
+    :ivar pauses: until when an upstream wants no requests of this host alone.
     """
 
     def __init__(self) -> None:
         self.notices: dict[Incarnation, Notice] = {}
         self.rate_limits: dict[Incarnation, float] = {}
+        self.pauses: dict[Incarnation, float] = {}
 
     def facts_of(self, ref: Incarnation) -> Facts:
         """Return what an upstream reported last."""
@@ -68,29 +81,52 @@
         return notice.facts if notice else NO_FACTS
 
     def record(self, ref: Incarnation, notice: Notice) -> bool:
-        """Record a notice unless a later one is known.
+        """Include a notice in what is known.
+
+        The latest rate limit counts. An upstream that leaves does so for good.
 
         :returns: whether it changed what is known.
         """
-        present = self.notices.get(ref)
-        previous = present.facts if present else NO_FACTS
-        if present is not None and notice.observed_at < present.observed_at:
+        present = self.notices.get(ref, _NO_NOTICE)
+        latest = max(present, notice, key=_observation_time)
+        facts = Facts(
+            latest.facts.rate_limit,
+            present.facts.is_leaving or notice.facts.is_leaving,
+        )
+        if present is _NO_NOTICE and not self._is_worth_keeping(facts):
             return False
-        if present is None and not self._is_worth_keeping(notice.facts):
+        self.notices[ref] = Notice(facts, latest.observed_at)
+        if facts == present.facts:
             return False
-        self.notices[ref] = notice
-        if notice.facts == previous:
-            return False
-        if notice.facts.rate_limit == NO_LIMIT:
+        if facts.rate_limit == NO_LIMIT:
             self.rate_limits.pop(ref, None)
         else:
-            self.rate_limits[ref] = max(notice.facts.rate_limit, MIN_RATE_LIMIT)
+            self.rate_limits[ref] = max(facts.rate_limit, MIN_RATE_LIMIT)
         return True
 
+    def pause(self, now: float, ref: Incarnation, pause_s: float) -> None:
+        """Record that an upstream wants nothing from this host for a while."""
+        until = now + min(pause_s, MAX_PAUSE_S)
+        self.pauses[ref] = max(self.pauses.get(ref, 0.0), until)
+
+    def paused(self, now: float) -> frozenset[Incarnation]:
+        """Return the upstreams that want nothing from this host now."""
+        if not self.pauses:
+            return frozenset()
+        self.pauses = {
+            ref: until for ref, until in self.pauses.items() if until > now
+        }
+        return frozenset(self.pauses)
+
+    def pause_left_s(self, now: float, ref: Incarnation) -> float:
+        """Return for how long an upstream wants nothing from this host."""
+        return max(self.pauses.get(ref, now) - now, 0.0)
+
     def forget(self, ref: Incarnation) -> None:
         """Forget the notice of an upstream that has ended."""
         self.notices.pop(ref, None)
         self.rate_limits.pop(ref, None)
+        self.pauses.pop(ref, None)
 
     def _is_worth_keeping(self, facts: Facts) -> bool:
         return facts != NO_FACTS and len(self.notices) < MAX_NOTICES
@@ -121,6 +157,7 @@
                 ref.text(),
                 _encode_limit(notice.facts.rate_limit),
                 round(now - notice.observed_at, 4),
+                notice.facts.is_leaving,
             ]
             for ref, notice in self._unknown(refs)
         ]
@@ -160,11 +197,11 @@
             (
                 parse_incarnation(str(ref)),
                 Notice(
-                    Facts(_decode_limit(rate_limit)),
+                    Facts(_decode_limit(rate_limit), bool(is_leaving)),
                     now - _not_negative(float(age_s)),
                 ),
             )
-            for ref, rate_limit, age_s in encoded
+            for ref, rate_limit, age_s, is_leaving in encoded
         ]
     except (TypeError, ValueError, OverflowError) as error:
         raise ValueError(f'malformed notices: {error}') from error
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -334,9 +334,24 @@
     NOTICE_CHANGED = EventKind(
         444,
         logging.INFO,
-        ('upstream', 'rate_limit', 'previous', 'source', 'age_s', 'request'),
-        'An upstream reported another rate limit, or none, to this host or to '
-        'the host that is named as the source.',
+        (
+            'upstream',
+            'rate_limit',
+            'previous',
+            'is_leaving',
+            'source',
+            'age_s',
+            'request',
+        ),
+        'An upstream reported another rate limit, or none, or that it leaves, '
+        'to this host or to the host that is named as the source.',
+    )
+    UPSTREAM_PAUSED = EventKind(
+        445,
+        logging.INFO,
+        ('request', 'upstream', 'asked_s', 'pause_s'),
+        'An upstream that refused a request wants nothing from this host for '
+        'the time that it asked for, or the longest time that is granted.',
     )
     LEASES_LAPSED = EventKind(
         441,
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -117,6 +117,7 @@
     :ivar is_expired: its deadline passed and an upstream may have run it.
     :ivar shortage: what the refusal of the last reservation was based on.
     :ivar tried: upstreams of earlier attempts, avoided by a retry.
+    :ivar avoided: upstreams that want no requests of this host now.
     :ivar carriers: connections of earlier attempts, not used by a retry.
     """
 
@@ -145,6 +146,7 @@
         self.key = head.key or 0
         self.owner: Incarnation | None = None
         self.tried: frozenset[Incarnation] = frozenset()
+        self.avoided: frozenset[Incarnation] = frozenset()
         self.carriers: set[Link] = set()
 
     def make_queued_request(self, zone: str) -> QueuedRequest:
@@ -158,6 +160,7 @@
             owner=self.owner,
             is_upload=self.route.is_upload,
             tried=self.tried,
+            avoided=self.avoided,
         )
 
 
@@ -324,7 +327,10 @@
 
     def _refresh_upstream(self, now: float, ref: Incarnation) -> None:
         entry = self.registry.find_callable(ref)
-        if entry is None:
+        has_left = self.notices.facts_of(ref).is_leaving and (
+            ref not in self.registry.leaving_until
+        )
+        if entry is None or has_left:
             self.notices.forget(ref)
         for pool, dispatcher in self.local_dispatch.dispatchers.items():
             if entry is None or entry.pool != pool:
@@ -444,6 +450,8 @@
             if reply is not None:
                 self._log_delivery(job, reservation, reply)
                 return reply
+            if not job.possible_runs:
+                self._check_pauses(job)
             self._check_retry(job)
             if job.is_keyed:
                 await asyncio.sleep(KEYED_RETRY_DELAY_S)
@@ -545,6 +553,7 @@
                 raise self._make_refusal(job, 'deadline', RETRY_AFTER_UNREADY_S)
             if job.is_keyed:
                 job.owner = await self._find_owner(job)
+            self._check_pauses(job)
             try:
                 return await self._request_reservation(job)
             except QueuedOwnerMovedError:
@@ -557,6 +566,27 @@
                     refusal.after_s,
                 ) from None
 
+    def _check_pauses(self, job: _ForwardedRequest) -> None:
+        """Refuse a request if no upstream wants any from this host now.
+
+        Retry-After varies, so that callers do not return at the same time.
+
+        :raises _RefusedError: when there is none.
+        """
+        now = loop_clock()
+        job.avoided = self.notices.paused(now)
+        if not job.avoided:
+            return
+        usable = (
+            {job.owner}
+            if job.owner
+            else set(self.registry.usable_upstreams(job.pool))
+        )
+        if usable and usable <= job.avoided:
+            left_s = min(self.notices.pause_left_s(now, ref) for ref in usable)
+            after_s = left_s * (1 + self.rng.random() / 2)
+            raise self._make_refusal(job, 'paused', after_s)
+
     async def _request_reservation(self, job: _ForwardedRequest) -> Reservation:
         future: ReservationFuture = asyncio.get_running_loop().create_future()
         self.reserving[future] = job
@@ -633,8 +663,8 @@
     ) -> tuple[Reply | None, AttemptResult]:
         """Make one attempt; without a reply, a retry may be possible."""
         entry = self._entry_of(job.pool, upstream)
-        if entry is None:
-            job.last_failure = 'unknown upstream'
+        if entry is None or self.notices.pause_left_s(loop_clock(), upstream):
+            job.last_failure = 'unknown or paused upstream'
             return None, AttemptResult(EndKind.OTHER)
         link_pool = self.link_pools.get(entry.address)
         if link_pool is None:
@@ -749,10 +779,23 @@
         """Record what an answer reports on its upstream."""
         if facts.cold_for_s:
             self._record_cold(ref, facts.cold_for_s)
-        if facts.rate_limit is not None:
-            notice = Notice(Facts(facts.rate_limit), loop_clock())
-            request_id = job.head.request_id.decode('latin-1')
+        request_id = job.head.request_id.decode('latin-1')
+        now = loop_clock()
+        rate_limit = facts.rate_limit
+        if rate_limit is None:
+            rate_limit = self.notices.facts_of(ref).rate_limit
+        if facts.rate_limit is not None or facts.is_leaving:
+            notice = Notice(Facts(rate_limit, facts.is_leaving), now)
             self.record_notices([(ref, notice)], 'answer', request_id)
+        if facts.pause_s:
+            self.notices.pause(now, ref, facts.pause_s)
+            self.log.emit(
+                Event.UPSTREAM_PAUSED,
+                request=request_id,
+                upstream=ref.text(),
+                asked_s=facts.pause_s,
+                pause_s=round(self.notices.pause_left_s(now, ref), 3),
+            )
 
     def record_notices(
         self,
@@ -766,16 +809,21 @@
         """
         for ref, notice in notices:
             previous = self.notices.facts_of(ref)
-            if self.notices.record(ref, notice):
-                self.log.emit(
-                    Event.NOTICE_CHANGED,
-                    upstream=ref.text(),
-                    rate_limit=_limit_or_none(notice.facts),
-                    previous=_limit_or_none(previous),
-                    source=source,
-                    age_s=round(loop_clock() - notice.observed_at, 4),
-                    request=request_id,
-                )
+            if not self.notices.record(ref, notice):
+                continue
+            known = self.notices.facts_of(ref)
+            self.log.emit(
+                Event.NOTICE_CHANGED,
+                upstream=ref.text(),
+                rate_limit=_limit_or_none(known),
+                previous=_limit_or_none(previous),
+                is_leaving=known.is_leaving,
+                source=source,
+                age_s=round(loop_clock() - notice.observed_at, 4),
+                request=request_id,
+            )
+            if known.is_leaving:
+                self.registry.record_leaving(loop_clock(), ref)
 
     def _may_retry(self, job: _ForwardedRequest) -> bool:
         if job.route.repeat is Repeat.ONCE:
--- a/src/oriolearch/gauges.py
+++ b/src/oriolearch/gauges.py
@@ -96,6 +96,16 @@
             'Bytes of incomplete answers of upstreams.',
             [({}, coordination.forwarder.response_memory.held_bytes)],
         ),
+        (
+            'paused_upstreams',
+            'Upstreams that want no requests of this host for a while.',
+            [({}, len(coordination.forwarder.notices.paused(loop_clock())))],
+        ),
+        (
+            'leaving_upstreams',
+            'Upstreams that said in an answer that they leave.',
+            [({}, len(coordination.registry.leaving_until))],
+        ),
         (
             'granted_ratio',
             'Keys that their owner has confirmed, of all.',
--- a/src/oriolearch/placing.py
+++ b/src/oriolearch/placing.py
@@ -682,6 +682,7 @@
         'owner': request.owner.text() if request.owner else None,
         'upload': request.is_upload,
         'tried': [ref.text() for ref in request.tried],
+        'avoided': [ref.text() for ref in request.avoided],
     }
 
 
@@ -696,6 +697,9 @@
         owner=parse_incarnation(owner) if owner else None,
         is_upload=bool(message['upload']),
         tried=frozenset(parse_incarnation(ref) for ref in message['tried']),
+        avoided=frozenset(
+            parse_incarnation(ref) for ref in message.get('avoided', ())
+        ),
     )
 
 
--- a/src/oriolearch/platform/wire.py
+++ b/src/oriolearch/platform/wire.py
@@ -29,10 +29,13 @@
 KEY = b'shard-key'
 HANDOVER = b'handover'
 RATE_LIMIT = b'server-limit'
+LEAVING = b'server-leaving'
+RETRY_AFTER = b'retry-after'
 DEFAULT_TIMEOUT_S = 30.0  # for callers that send no timeout header
 # A release is answered once the running requests for its keys have ended.
 RELEASE_TIMEOUT_S = 2.5
 MISDIRECTED = 421
+OVERLOADED = 503
 
 _REPLACED_HEADERS = HOP_BY_HOP_HEADERS | {DEADLINE_MS, EXPECTED_NAME, b'expect'}
 _NOT_RUN_STATUSES = frozenset((400, 421, 429, 503))
@@ -98,6 +101,8 @@
             load=sum(load[:2]) if len(load) > 2 else None,
             cold_for_s=_remaining_cold_s(answer),
             rate_limit=None if is_misdirected else _parse_rate_limit(answer),
+            is_leaving=not is_misdirected and answer.header(LEAVING) == b'1',
+            pause_s=_parse_pause_s(answer),
         )
 
 
@@ -269,8 +274,19 @@
     The lowest counts if there are several. An answer whose limits are all
     malformed tells neither that there is a limit nor that there is none.
     """
-    texts = [text for name, text in answer.headers if name == RATE_LIMIT]
-    if not texts:
-        return NO_LIMIT
-    limits = (float(text) for text in texts if _DECIMAL.fullmatch(text))
-    return min(limits, default=None)
+    texts = answer.texts(RATE_LIMIT)
+    return min(_parse_decimals(texts), default=None) if texts else NO_LIMIT
+
+
+def _parse_pause_s(answer: HttpResponse) -> float:
+    """Return for how long the server wants nothing from this host.
+
+    The longest time counts if there are several; a date is no time.
+    """
+    if answer.status != OVERLOADED:
+        return 0.0
+    return max(_parse_decimals(answer.texts(RETRY_AFTER)), default=0.0)
+
+
+def _parse_decimals(texts: list[bytes]) -> list[float]:
+    return [float(text) for text in texts if _DECIMAL.fullmatch(text)]
--- a/src/oriolearch/ports.py
+++ b/src/oriolearch/ports.py
@@ -200,6 +200,9 @@
     :param rate_limit: requests per second that the upstream takes from all
         hosts together, infinite without a limit; ``None`` when the answer
         doesn't tell.
+    :param is_leaving: the upstream is about to end and takes nothing more.
+    :param pause_s: for how long it wants nothing from this host; 0 if it does
+        not tell.
     """
 
     is_not_run: bool
@@ -208,3 +211,5 @@
     load: int | None
     cold_for_s: float
     rate_limit: float | None
+    is_leaving: bool = False
+    pause_s: float = 0.0
--- a/src/oriolearch/registry.py
+++ b/src/oriolearch/registry.py
@@ -22,6 +22,9 @@
 STORE_UNSTABLE_S = 3.0  # after an outage of the store
 # A removed upstream can still be asked to release its keys for this long.
 RELEASE_WINDOW_S = 20.0
+# An upstream that said that it leaves, and lives on, gets requests again after
+# this. Those that leave do so within a minute.
+LEAVING_LIMIT_S = 300.0
 COLD_MARGIN_S = 0.5  # added to the announced end of a cold start
 
 
@@ -52,6 +55,8 @@
     :ivar removed: upstreams whose entries were removed or replaced.
     :ivar replaced: runs of upstreams whose entries a later run's replaced.
         That proves no end: another writer may have written the later one.
+    :ivar leaving_until: by upstream that said that it leaves, until when that
+        counts.
     :ivar changed: upstreams that changed since the last notification.
     :ivar has_changed_whole: whether a change since then affects all of them.
     """
@@ -63,6 +68,7 @@
         self.removed: dict[Incarnation, _Removed] = {}
         self.replaced: set[Incarnation] = set()
         self.cold_until: dict[Incarnation, float] = {}
+        self.leaving_until: dict[Incarnation, float] = {}
         self.is_read = False
         self.store_outage_at = float('-inf')
         self.listeners: list[Callable[[Changes], None]] = []
@@ -133,9 +139,17 @@
             self._set_cold(now, entry, cold_for_s)
             self._notify(ref)
 
+    def record_leaving(self, now: float, ref: Incarnation) -> None:
+        """Record that an upstream has said in an answer that it leaves."""
+        if ref not in self.leaving_until:
+            self.leaving_until[ref] = now + LEAVING_LIMIT_S
+            self._notify(ref)
+
     def apply_due_removals(self, now: float) -> None:
         """Make removals effective whose delay is over."""
-        due = []
+        due = [ref for ref, until in self.leaving_until.items() if now >= until]
+        for ref in due:
+            del self.leaving_until[ref]
         for ref, removed in list(self.removed.items()):
             if now - removed.at > RELEASE_WINDOW_S:
                 del self.removed[ref]
@@ -182,7 +196,9 @@
 
     def is_usable(self, entry: UpstreamEntry) -> bool:
         """Return whether a callable upstream may be assigned requests."""
-        if entry.is_draining or entry.zone in self.zones_out:
+        if entry.is_draining or entry.ref in self.leaving_until:
+            return False
+        if entry.zone in self.zones_out:
             return False
         removed = self.removed.get(entry.ref)
         return removed is None or not removed.is_effective
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -320,6 +320,8 @@
     :ivar cold_ms: remaining cold start that it reports.
     :ivar rate_limit: requests per second from all hosts that it names in its
         answers.
+    :ivar is_leaving: whether its answers say that it leaves.
+    :ivar retry_after: with this it refuses all requests, if not empty.
     :ivar is_plain: whether its service has no keys and rejects grants.
     """
 
@@ -334,6 +336,8 @@
         self.arrivals: list[float] = []
         self.cold_ms = 0
         self.rate_limit = ''
+        self.is_leaving = False
+        self.retry_after = ''
         self.is_plain = False
         self.loop = asyncio.get_running_loop()
 
@@ -406,6 +410,11 @@
         echoed = {'Attempt-Id': request_id}
         if self.rate_limit:
             echoed['Server-Limit'] = self.rate_limit
+        if self.is_leaving:
+            echoed['Server-Leaving'] = '1'
+        if self.retry_after:
+            echoed['Retry-After'] = self.retry_after
+            return 503, {**echoed, 'Not-Executed': '1'}, b''
         if not self.holds(int(request.headers['shard-key'])):
             self.misdirected += 1
             return 421, {**echoed, 'Not-Executed': '1'}, b''
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -748,3 +748,24 @@
         sum(begin <= at < begin + 1 for at in arrivals) for begin in arrivals
     )
     assert most <= 1.5 * rate + slack
+
+
+@pytest.mark.parametrize('is_queued', [False, True])
+def test_upstream_that_paused_a_host_serves_the_others(is_queued: bool) -> None:
+    """Guard against requests that a paused host cannot send.
+
+    An upstream wants nothing from one host for a while. Another one serves
+    its requests, in a plain pool, and those of other hosts go on.
+    """
+    dispatcher = make_dispatcher(entry(A), entry(B))
+    filled = fill(dispatcher, A) + fill(dispatcher, B) if is_queued else []
+    from_paused = make_request(owner=None)
+    from_paused.avoided = frozenset((A,))
+    from_other = make_request(owner=None)
+    for request in (from_paused, from_other):
+        dispatcher.submit(0.0, request)
+    for request in filled:
+        dispatcher.release(request)
+    dispatcher.assign_queued(0.1)
+    assert from_paused.assigned_to is dispatcher.upstreams[B]
+    assert from_other.assigned_to is not None
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -6,6 +6,7 @@
 
 from oriolearch.core.directory import Incarnation
 from oriolearch.core.notices import (
+    MAX_PAUSE_S,
     MIN_RATE_LIMIT,
     NO_LIMIT,
     Facts,
@@ -106,14 +107,14 @@
     [
         None,
         'a@1',
-        [['a@1', 5.0]],
-        [['a@1', 5.0, 'soon']],
-        [['a', 5.0, 0.1]],
-        [['a@1', -1.0, 0.1]],
-        [['a@1', float('nan'), 0.1]],
-        [['a@1', 5.0, float('nan')]],
-        [['a@1', [], 0.1]],
-        [['a@1', 10**400, 0.1]],
+        [['a@1', 5.0, 0.1]],
+        [['a@1', 5.0, 'soon', False]],
+        [['a', 5.0, 0.1, False]],
+        [['a@1', -1.0, 0.1, False]],
+        [['a@1', float('nan'), 0.1, False]],
+        [['a@1', 5.0, float('nan'), False]],
+        [['a@1', [], 0.1, False]],
+        [['a@1', 10**400, 0.1, False]],
         [5],
     ],
 )
@@ -123,3 +124,31 @@
     with pytest.raises(ValueError, match='malformed'):
         host.channel.receive(1.0, encoded)
     assert not host.board.notices
+
+
+@pytest.mark.parametrize('observed_at', [1.0, 3.0])
+def test_upstream_that_leaves_does_so_for_good(observed_at: float) -> None:
+    """Guard against requests to an upstream after an answer that is late.
+
+    A request that it began before may be answered without the notice.
+    """
+    near, far = Host('near'), Host('far')
+    near.board.record(A, limit(5, 2.0))
+    near.board.record(A, Notice(Facts(is_leaving=True), observed_at))
+    near.board.record(A, limit(5, 4.0))
+    assert near.board.facts_of(A) == Facts(5, is_leaving=True)
+    far.board.record(A, limit(5, 6.0))
+    near.send(5.0, far)
+    assert far.board.facts_of(A).is_leaving
+
+
+def test_pause_is_bounded_and_ends() -> None:
+    """Guard against an upstream that is lost to its own odd answer."""
+    board = NoticeBoard()
+    board.pause(1.0, A, 10**6)
+    board.pause(1.0, B, 2.0)
+    board.pause(1.5, B, 0.1)
+    assert board.paused(2.9) == {A, B}
+    assert board.pause_left_s(2.0, B) == pytest.approx(1.0)
+    assert board.paused(3.1) == {A}
+    assert not board.paused(1.1 + MAX_PAUSE_S)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -31,6 +31,7 @@
     LocalDispatch,
     ReservationRouter,
     decode_refusal,
+    decode_request,
     encode_refusal,
     encode_release,
     encode_request,
@@ -264,3 +265,15 @@
     assert int(shares.pop(chosen)) == 1
     assert sum(shares.values()) <= SUBSTITUTES_RATE_SHARE
     assert unconfirmed <= UNCONFIRMED_RATE_SHARE
+
+
+def test_reservation_names_the_upstreams_to_avoid() -> None:
+    """Guard against a reservation that its host may not use.
+
+    A host of an older version doesn't name them.
+    """
+    request = QueuedRequest('z1', 1, 1.0, 2.0, avoided=frozenset(OWNERS[:2]))
+    message = encode_request(7, 'orders', request, 0.0)
+    assert decode_request(message, 0.0).avoided == request.avoided
+    del message['avoided']
+    assert not decode_request(message, 0.0).avoided
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -39,3 +39,48 @@
     """Guard against the limit of a server that took over the address."""
     answer = HttpResponse(421, [(b'server-limit', b'1')])
     assert PlatformCodec().decode_facts(answer).rate_limit is None
+
+
+@pytest.mark.parametrize(
+    ('status', 'texts', 'expected'),
+    [
+        (200, [b'1'], True),
+        (503, [b'1'], True),
+        (200, [], False),
+        (200, [b'0'], False),
+        (200, [b'yes'], False),
+        (421, [b'1'], False),
+    ],
+)
+def test_leaving_upstream(
+    status: int, texts: list[bytes], expected: bool
+) -> None:
+    """Guard against an upstream that is lost to a header of another one."""
+    headers = [(b'server-leaving', text) for text in texts]
+    facts = PlatformCodec().decode_facts(HttpResponse(status, headers))
+    assert facts.is_leaving is expected
+
+
+@pytest.mark.parametrize(
+    ('status', 'texts', 'expected'),
+    [
+        (503, [], 0.0),
+        (503, [b'2'], 2.0),
+        (503, [b'0.25'], 0.25),
+        (503, [b'1', b'4'], 4.0),
+        (503, [b'-1'], 0.0),
+        (503, [b'nan'], 0.0),
+        (503, [b'9' * 400], 0.0),
+        (503, [b'Sun, 06 Dec 2026 08:00:00 GMT'], 0.0),
+        (503, [b'soon', b'3'], 3.0),
+        (200, [b'2'], 0.0),
+        (429, [b'2'], 0.0),
+    ],
+)
+def test_pause_that_an_upstream_asks_for(
+    status: int, texts: list[bytes], expected: float
+) -> None:
+    """Guard against a pause for good, or none, by an odd value."""
+    headers = [(b'retry-after', text) for text in texts]
+    facts = PlatformCodec().decode_facts(HttpResponse(status, headers))
+    assert facts.pause_s == pytest.approx(expected)
