--- a/tests/faultsoak/faults.py
+++ b/tests/faultsoak/faults.py
@@ -13,6 +13,9 @@
     **dict.fromkeys(STORE_FAULTS, 2),
     **dict.fromkeys(OTHER_FAULTS, 1),
 }
+# Upstreams that name a rate limit, or leave without telling the store.
+NOTICE_FAULTS = ('limit', 'leave')
+NOTICE_S = 10.0  # the bound on limits needs 7 s
 MAX_SERIES_FAULTS = 3  # consecutive faults of one kind
 MAX_FAULT_S = 4.0
 CONNECTION_MODES = ('delay', 'reset', 'up', 'down', 'silent')
@@ -58,4 +61,17 @@
                 faults.append(fault)
             start_s += duration_s * rng.uniform(0.3, 1.5)
         series_start_s += rng.uniform(0.5, 3.0)
+    faults += _draw_notice_faults(seed, length_s)
     return sorted(faults, key=lambda fault: fault.start_s)
+
+
+def _draw_notice_faults(seed: int, length_s: float) -> list[Fault]:
+    """Return faults that are drawn apart, so that the others stay."""
+    rng = random.Random(f'notices of {seed}')
+    duration_s = min(NOTICE_S, length_s - 1)
+    last_start_s = length_s - 1 - duration_s
+    return [
+        Fault(rng.uniform(0, last_start_s), duration_s, kind, '', rng.random())
+        for kind in NOTICE_FAULTS
+        if rng.randrange(10) < 7
+    ]
--- a/tests/faultsoak/run.py
+++ b/tests/faultsoak/run.py
@@ -5,14 +5,19 @@
 import random
 import signal
 from collections import Counter
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from dataclasses import dataclass
 from itertools import count
 from pathlib import Path
 from typing import Any
 
-from oriolearch.adapters.upstream_links import LinkError, LinkPool
+from oriolearch.adapters.upstream_links import (
+    HttpResponse,
+    LinkError,
+    LinkPool,
+)
 from tests.faultsoak.faults import Fault, draw_faults
+from tests.faultsoak.notices import Arrival, NoticeRecord
 from tests.faultsoak.promises import DELAYED_GRANT_S, PromiseChecker
 from tests.faultsoak.proxy import FaultProxy
 from tests.faultsoak.world import (
@@ -38,6 +43,8 @@
 ANSWER_SLACK_S = 0.6  # an answer may be this late after the caller's timeout
 FIRST_PORT = 10000
 PORTS_PER_HOST = 4
+RATE_LIMIT = 6.0  # a seventh of what an upstream gets otherwise
+INTERRUPTIONS = frozenset(('pause', 'kill', 'stop', 'all_killed'))
 EXIT_S = 0.5  # delay from the end of a drain to the exit of the upstream
 
 
@@ -62,6 +69,8 @@
     :ivar host_faults_ended_at: when the last fault of each host ended.
     :ivar active_faults: number of current faults of each host.
     :ivar last_fault_ended_at: when the last fault ended.
+    :ivar forgot_at: when each host was last restarted or frozen.
+    :ivar sent: by attempt, the host that got it and when.
     """
 
     def __init__(self, seed: int, length_s: float, folder: Path) -> None:
@@ -81,6 +90,8 @@
         self.host_faults_ended_at: dict[str, float] = {}
         self.active_faults: Counter[str] = Counter()
         self.last_fault_ended_at = float('-inf')
+        self.forgot_at: dict[str, float] = {}
+        self.sent: dict[str, tuple[str, float]] = {}
         self.request_count = 0
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -134,6 +145,7 @@
             self.now,
             self.may_be_delayed,
         )
+        server.on_arrival = self._record_arrival
         await server.open()
         self.servers.append(server)
         self.store.put('servers', name, server.entry())
@@ -231,6 +243,7 @@
             f'Shard-Key: {key}\r\nContent-Length: {len(body)}\r\n\r\n'
         )
         sent_at = self.now()
+        self.sent[attempt] = (host.name, sent_at)
         limit_s = CALLER_TIMEOUT_MS / 1000 + ANSWER_SLACK_S
         try:
             answer = await links.exchange(head.encode() + body, limit_s)
@@ -240,6 +253,7 @@
                 self.now(), attempt, was_fault_free
             )
             return False
+        self._record_notice(host.name, answer)
         self.checker.record_answer(
             self.now(),
             attempt,
@@ -249,6 +263,20 @@
         )
         return answer.status == 200
 
+    def _record_notice(self, host: str, answer: HttpResponse) -> None:
+        """Record that a host passed on what an upstream asks for."""
+        name = (answer.header(b'server-signature') or b'').partition(b'.')[0]
+        for server in self.servers:
+            if server.name.encode() == name and server.notice is not None:
+                forgot_at = self.forgot_at.get(host, float('-inf'))
+                server.notice.record_answer(self.now(), host, forgot_at)
+
+    def _record_arrival(self, server: SoakServer, attempt: str) -> None:
+        if server.notice is not None:
+            host, sent_at = self.sent[attempt]
+            arrival = Arrival(self.now(), host, sent_at)
+            server.notice.arrivals.append(arrival)
+
     def _was_fault_free(self, name: str, since: float) -> bool:
         ended_at = self.host_faults_ended_at.get(name, float('-inf'))
         return (
@@ -272,17 +300,22 @@
             'config': self._configure,
             'entry': self._write_invalid_entry,
             'all_killed': self._kill_all_hosts,
+            'limit': self._limit_server,
+            'leave': self._let_server_leave,
         }
         await actions.get(fault.kind, self._disturb_store)(fault)
         self.last_fault_ended_at = self.now()
 
     def _select_host(self, fault: Fault) -> int:
         index = int(fault.choice * len(self.hosts))
-        self._begin_fault(index)
+        self._begin_fault(fault, index)
         return index
 
-    def _begin_fault(self, index: int) -> None:
-        self.active_faults[self.hosts[index].name] += 1
+    def _begin_fault(self, fault: Fault, index: int) -> None:
+        name = self.hosts[index].name
+        self.active_faults[name] += 1
+        if fault.kind in INTERRUPTIONS:
+            self.forgot_at[name] = float('inf')
 
     async def _wait_fault(self, fault: Fault, *indexes: int) -> None:
         """Wait until a fault ends, and record its end for its hosts."""
@@ -291,6 +324,8 @@
             name = self.hosts[index].name
             self.active_faults[name] -= 1
             self.host_faults_ended_at[name] = self.now()
+            if fault.kind in INTERRUPTIONS:
+                self.forgot_at[name] = self.now()
 
     async def _pause_host(self, fault: Fault) -> None:
         index = self._select_host(fault)
@@ -306,7 +341,7 @@
     async def _kill_all_hosts(self, fault: Fault) -> None:
         indexes = range(len(self.hosts))
         for index in indexes:
-            self._begin_fault(index)
+            self._begin_fault(fault, index)
             self.hosts[index].send(signal.SIGKILL)
         await self._wait_fault(fault, *indexes)
 
@@ -355,6 +390,8 @@
     async def _disturb_server(self, fault: Fault) -> None:
         server = self._select_server(fault)
         if server is not None and server.proxy is not None:
+            if server.notice is not None:
+                server.notice.is_disturbed = True
             await self._disturb_proxy(server.proxy, fault)
 
     async def _kill_server(self, fault: Fault) -> None:
@@ -388,6 +425,49 @@
         server.end()
         await self._replace(server, is_same=False)
 
+    async def _limit_server(self, fault: Fault) -> None:
+        server = self._select_server(fault)
+        if server is None or server.notice is not None:
+            return
+        notice = NoticeRecord(self.now())
+        server.notice = notice
+        server.rate_limit = str(RATE_LIMIT)
+        await asyncio.sleep(fault.duration_s)
+        self._report_all(
+            server,
+            notice.broken_limits(
+                RATE_LIMIT,
+                lambda host: (
+                    self.active_faults[host] > 0
+                    or self.host_faults_ended_at[host] > notice.begun_at
+                ),
+            ),
+        )
+        server.rate_limit = ''
+        server.notice = None
+
+    async def _let_server_leave(self, fault: Fault) -> None:
+        """Let an upstream leave that only its answers announce."""
+        server = self._select_server(fault)
+        if server is None or server.notice is not None:
+            return
+        notice = NoticeRecord(self.now())
+        server.notice = notice
+        server.is_leaving = True
+        await asyncio.sleep(fault.duration_s)
+        self._report_all(
+            server,
+            notice.late_requests(
+                lambda host: self.forgot_at.get(host, float('-inf'))
+            ),
+        )
+        server.end()
+        await self._replace(server, is_same=False)
+
+    def _report_all(self, server: SoakServer, problems: Iterable[str]) -> None:
+        for problem in problems:
+            self.checker.report(self.now(), f'{problem}, at {server.name}')
+
     async def _replace(self, server: SoakServer, *, is_same: bool) -> None:
         if server not in self.servers:
             return
--- a/tests/faultsoak/world.py
+++ b/tests/faultsoak/world.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Any
 
+from tests.faultsoak.notices import NoticeRecord
 from tests.faultsoak.promises import Lease, PromiseChecker
 from tests.faultsoak.proxy import FaultProxy
 from tests.platform_standin import (
@@ -69,6 +70,8 @@
     """One incarnation of an upstream, with the slowest clock that is allowed.
 
     :param may_be_delayed: returns whether a fault may have delayed a call.
+    :ivar notice: set while it names a limit or leaves.
+    :ivar on_arrival: called with each request that it gets.
     :ivar delayed_tokens: fencing tokens of grants that a fault may have
         delayed.
     """
@@ -93,6 +96,8 @@
         self.is_draining = False
         self.proxy: FaultProxy | None = None
         self.delayed_tokens: set[int] = set()
+        self.notice: NoticeRecord | None = None
+        self.on_arrival: Callable[[SoakServer, str], None] | None = None
 
     async def open(self) -> None:
         await self.listen()
@@ -125,7 +130,9 @@
     async def serve_request(self, request: Request) -> Answer:
         attempt = request.headers['attempt-id']
         body = request.body
-        echoed = {'Attempt-Id': attempt}
+        echoed = {'Attempt-Id': attempt, **self.notice_headers()}
+        if self.on_arrival is not None:
+            self.on_arrival(self, attempt)
         rejected = {**echoed, 'Not-Executed': '1'}
         if self.load >= SLOTS + QUEUE_LIMIT:
             return 503, rejected, b''
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -404,14 +404,16 @@
         self.remove_grants(call['from'], call['target'])
         return 200, {'Handover': f'from-{self.name}'}, b''
 
+    def notice_headers(self) -> Headers:
+        """Return the headers by which it tells hosts about itself."""
+        limit = {'Server-Limit': self.rate_limit} if self.rate_limit else {}
+        leaving = {'Server-Leaving': '1'} if self.is_leaving else {}
+        return {**limit, **leaving}
+
     def run(self, request: Request) -> Answer:
         self.arrivals.append(self.loop.time())
         request_id = request.headers['attempt-id']
-        echoed = {'Attempt-Id': request_id}
-        if self.rate_limit:
-            echoed['Server-Limit'] = self.rate_limit
-        if self.is_leaving:
-            echoed['Server-Leaving'] = '1'
+        echoed = {'Attempt-Id': request_id, **self.notice_headers()}
         if self.retry_after:
             echoed['Retry-After'] = self.retry_after
             return 503, {**echoed, 'Not-Executed': '1'}, b''
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -6,6 +6,7 @@
 
 from tests.faultsoak.__main__ import read_seeds
 from tests.faultsoak.faults import draw_faults
+from tests.faultsoak.notices import Arrival, NoticeRecord
 from tests.faultsoak.promises import Lease, PromiseChecker
 from tests.faultsoak.report import plot, table
 from tests.faultsoak.run import Result, run_seed
@@ -133,3 +134,34 @@
     assert '| 3 |' in table([result])
     assert 'TWICE' in table([result])
     assert faults[0].kind in plot(result, 0)
+
+
+@pytest.mark.parametrize(
+    ('told_at', 'has_fault', 'is_broken'),
+    [(0.5, False, True), (0.5, True, False), (6.0, False, False)],
+)
+def test_more_than_the_limit_is_reported(
+    told_at: float, has_fault: bool, is_broken: bool
+) -> None:
+    """Requests of hosts that were told, and had no fault, count."""
+    record = NoticeRecord(0.0)
+    record.record_answer(told_at, 'h', float('-inf'))
+    for number in range(45):
+        record.arrivals.append(Arrival(3 + number / 20, 'h', 2.9))
+    problems = list(record.broken_limits(6.0, lambda host: has_fault))
+    assert bool(problems) is (is_broken)
+
+
+@pytest.mark.parametrize(
+    ('sent_at', 'forgot_at', 'is_broken'),
+    [(2.9, 0.0, False), (3.1, 0.0, True), (3.1, 2.0, False)],
+)
+def test_request_after_the_leaving_is_reported(
+    sent_at: float, forgot_at: float, is_broken: bool
+) -> None:
+    """A restart or a freeze since the answer excuses a host."""
+    record = NoticeRecord(0.0)
+    record.record_answer(1.0, 'h', float('-inf'))
+    record.arrivals.append(Arrival(3.2, 'h', sent_at))
+    problems = list(record.late_requests(lambda host: forgot_at))
+    assert bool(problems) is is_broken
