Make room for new notices when there are too many

A host stopped to take notices once it had 10,000 of them, and a late message may name upstreams that this host has forgotten already, so it would have come to that after weeks; limits and leaving upstreams would then have gone unheard. The upstream that was noticed first is forgotten instead, and a connection keeps no more of what the other host knows.

The test failed before: the limit of a new upstream was not recorded.

--- a/src/oriolearch/core/notices.py
+++ b/src/oriolearch/core/notices.py
@@ -24,7 +24,8 @@
 MIN_RATE_LIMIT = 0.5
 # A faulty upstream that announces more is asked again after this.
 MAX_PAUSE_S = 60.0
-MAX_NOTICES = 10_000  # of upstreams that this host may not know yet
+# A late message may name an upstream that this host has already forgotten.
+MAX_NOTICES = 10_000
 
 Encoded = list[list[Any]]
 
@@ -93,8 +94,10 @@
             latest.facts.rate_limit,
             present.facts.is_leaving or notice.facts.is_leaving,
         )
-        if present is _NO_NOTICE and not self._is_worth_keeping(facts):
-            return False
+        if present is _NO_NOTICE:
+            if facts == NO_FACTS:
+                return False
+            self._make_room()
         self.notices[ref] = Notice(facts, latest.observed_at)
         if facts == present.facts:
             return False
@@ -128,8 +131,10 @@
         self.rate_limits.pop(ref, None)
         self.pauses.pop(ref, None)
 
-    def _is_worth_keeping(self, facts: Facts) -> bool:
-        return facts != NO_FACTS and len(self.notices) < MAX_NOTICES
+    def _make_room(self) -> None:
+        """Forget the upstream that was noticed first if there are too many."""
+        if len(self.notices) >= MAX_NOTICES:
+            self.forget(next(iter(self.notices)))
 
 
 RecordNotices = Callable[[Iterable[tuple[Incarnation, Notice]], str], None]
@@ -168,7 +173,8 @@
         :raises ValueError: when they are malformed.
         """
         notices = decode_notices(now, encoded)
-        self.known.update((ref, notice.facts) for ref, notice in notices)
+        for ref, notice in notices:
+            self._remember(ref, notice.facts)
         self.record(notices, self.peer)
 
     def _unknown(
@@ -179,9 +185,14 @@
         for ref in refs:
             notice = self.board.notices.get(ref)
             if notice and self.known.get(ref, NO_FACTS) != notice.facts:
-                self.known[ref] = notice.facts
+                self._remember(ref, notice.facts)
                 yield ref, notice
 
+    def _remember(self, ref: Incarnation, facts: Facts) -> None:
+        if len(self.known) >= MAX_NOTICES:
+            self.known.clear()
+        self.known[ref] = facts
+
 
 def decode_notices(
     now: float, encoded: object
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -6,6 +6,7 @@
 
 from oriolearch.core.directory import Incarnation
 from oriolearch.core.notices import (
+    MAX_NOTICES,
     MAX_PAUSE_S,
     MIN_RATE_LIMIT,
     NO_LIMIT,
@@ -152,3 +153,21 @@
     assert board.pause_left_s(2.0, B) == pytest.approx(1.0)
     assert board.paused(3.1) == {A}
     assert not board.paused(1.1 + MAX_PAUSE_S)
+
+
+def test_notices_of_forgotten_upstreams_leave_room_for_others() -> None:
+    """Guard against a host that takes no notices any more after weeks.
+
+    Late messages of other hosts name upstreams that have ended.
+    """
+    near, far = Host('near'), Host('far')
+    for number in range(MAX_NOTICES + 5):
+        ended = Incarnation('ended', number)
+        near.board.record(ended, limit(5, 1.0))
+        far.channel.receive(1.0, near.channel.encode(1.0, [ended]))
+    near.board.record(A, limit(3, 2.0))
+    near.send(2.0, far)
+    assert far.board.rate_limits[A] == 3
+    for host in (near, far):
+        assert len(host.board.notices) <= MAX_NOTICES
+        assert len(host.channel.known) <= MAX_NOTICES
