--- a/src/oriolearch/adapters/host_links.py
+++ b/src/oriolearch/adapters/host_links.py
@@ -9,12 +9,14 @@
 
 import asyncio
 import json
+import math
 import zlib
 from base64 import b64decode, b64encode
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from oriolearch.addresses import split_address
+from oriolearch.clock import lease_clock
 from oriolearch.core.errors import PeerError, PeerRefusedError
 from oriolearch.packing import decompress
 
@@ -22,6 +24,10 @@
 CONNECT_TIMEOUT_S = 0.5  # round trips between hosts take a few milliseconds
 BACKLOG = 512  # all hosts connect to a new coordinator at once
 MAX_UNSENT_BYTES = 1024 * 1024  # a host that reads too slowly is disconnected
+READ_BYTES = 65536
+# A message that takes longer to arrive is given up. The owners of a large pool
+# take about 2 s on the slowest links, of 5 Mbit/s.
+MAX_TRANSFER_S = 5.0
 
 MIN_COMPRESSED_BYTES = 2048  # smaller messages gain little
 ZLIB_LEVEL = 3  # level 6 takes twice as long for a tenth fewer bytes
@@ -59,7 +65,11 @@
 
 
 class HostLink:
-    """One end of a connection between two hosts."""
+    """One end of a connection between two hosts.
+
+    :ivar received_at: time of the last received bytes, also of an incomplete
+        message.
+    """
 
     def __init__(
         self,
@@ -70,6 +80,8 @@
         self.address = address
         self.reader = reader
         self.writer = writer
+        self.unread = bytearray()
+        self.received_at = -math.inf
 
     def send(self, message: Message) -> None:
         """Queue a message for sending without waiting."""
@@ -88,22 +100,46 @@
     async def receive(self, timeout_s: float | None) -> Message:
         """Wait for the next message and return it.
 
-        :param timeout_s: ``None`` to wait without limit.
+        Over a slow link, a large message may take longer than the timeout, and
+        short ones such as heartbeats wait behind it.
+
+        :param timeout_s: longest time without any received bytes; ``None`` to
+            wait without limit.
 
         :raises PeerError: when none arrives in time or it is malformed.
         """
         try:
-            async with asyncio.timeout(timeout_s):
-                line = await self.reader.readline()
-        except (OSError, TimeoutError, ValueError) as error:
+            return decode_line(await self._read_line(timeout_s))
+        except (OSError, EOFError, ValueError) as error:
             reason = f'{type(error).__name__} {error}'
             raise PeerError(self.address, reason) from error
-        if not line.endswith(b'\n'):
-            raise PeerError(self.address, 'connection closed by the other host')
-        try:
-            return decode_line(line)
-        except ValueError as error:
-            raise PeerError(self.address, str(error)) from error
+
+    async def _read_line(self, timeout_s: float | None) -> bytes:
+        searched = 0
+        end = self.unread.find(b'\n')
+        began_at = lease_clock() if self.unread else math.inf
+        while end < 0:
+            searched = len(self.unread)
+            async with asyncio.timeout(timeout_s):
+                received = await self.reader.read(READ_BYTES)
+            if not received:
+                raise EOFError('connection closed by the other host')
+            self.received_at = lease_clock()
+            began_at = min(began_at, self.received_at)
+            self.unread += received
+            end = self.unread.find(b'\n', searched)
+            if end < 0:
+                self._check_incomplete(began_at)
+        line = bytes(self.unread[: end + 1])
+        del self.unread[: end + 1]
+        return line
+
+    def _check_incomplete(self, began_at: float) -> None:
+        """Raise an error if a message is too long or arrives too slowly."""
+        if len(self.unread) > MAX_LINE_BYTES:
+            raise ValueError('message too long')
+        if self.received_at - began_at > MAX_TRANSFER_S:
+            raise TimeoutError('message takes too long to arrive')
 
     def close(self) -> None:
         """Close the connection at once and discard unsent messages."""
--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -162,6 +162,7 @@
         self.peers: list[str] = []
         self.last_contact_at = float('-inf')
         self.last_contact_term = 0
+        self.coordinator_link: HostLink | None = None
         self.granting_contact_at = float('-inf')
         self.contact_lost_at = float('-inf')
         self.failed_connects = 0
@@ -501,6 +502,7 @@
             self.failed_connects += 1
             return error.reason
         self.failed_connects = 0
+        self.coordinator_link = link
         channel = self.forwarder.local_dispatch.open_channel(row.address)
         reporter = self.spawn_lasting(
             'report', partial(self._report, link, channel)
@@ -596,6 +598,7 @@
         }
 
     def _close_link(self, link: HostLink) -> None:
+        self.coordinator_link = None
         link.close()
         self.spawn(self._poll_after_silence())
         if self.leadership is None:
@@ -746,10 +749,8 @@
         leadership.add_member(link, member)
         if hello.get('ready'):
             leadership.members.set_ready(link)
-        for table, mirror in self.relay.mirrors.items():
-            version = int(hello['versions'].get(table, 0))
-            rows = mirror.rows_since(version)
-            link.send(encode_rows(table, rows, mirror.version))
+        for line in self.relay.lines_since(hello['versions']):
+            link.send_line(line)
         leadership.members.send_watchers(link)
         try:
             while not leadership.is_over:
@@ -791,10 +792,19 @@
     def _reachable_term(self) -> int:
         if self.leadership is not None and not self.leadership.is_stuck():
             return self.leadership.row.term
-        if lease_clock() - self.last_contact_at < CONTACT_TIMEOUT_S:
+        if lease_clock() - self._last_received_at() < CONTACT_TIMEOUT_S:
             return self.last_contact_term
         return 0
 
+    def _last_received_at(self) -> float:
+        """Return when the coordinator last sent anything.
+
+        Its heartbeats may wait behind a large message on a slow link.
+        """
+        link = self.coordinator_link
+        received_at = link.received_at if link else float('-inf')
+        return max(self.last_contact_at, received_at)
+
     def hears_coordinator(self) -> bool:
         """Return whether a coordinator that can renew leases is in contact."""
         if self.leadership is not None:
--- a/src/oriolearch/relaying.py
+++ b/src/oriolearch/relaying.py
@@ -7,12 +7,15 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Any
 
+from oriolearch.adapters.host_links import encode_line
 from oriolearch.core.versions import VersionLedger
 from oriolearch.ports import StoredRow, TableState
 
+MAX_KEPT_LINES = 4  # encoded messages of one table, of up to 4 MB each
+
 OnChange = Callable[[list[StoredRow], int], None]
 Forward = Callable[[str, list[StoredRow], int], None]
 
@@ -26,6 +29,7 @@
     :ivar whole_version: version of the last read of the whole table.
     :ivar current_at: when this copy last was known to be up to date, in
         seconds.
+    :ivar lines: encoded messages with the changes since a version.
     """
 
     def __init__(self, table: str, on_change: OnChange) -> None:
@@ -36,6 +40,7 @@
         self.whole_version = 0
         self.current_at = float('-inf')
         self.is_read = False
+        self.lines: dict[int, bytes] = {}
 
     def apply(
         self,
@@ -57,6 +62,7 @@
         if is_whole:
             self.whole_version = max(self.whole_version, version)
         self.version = max(self.version, version)
+        self.lines.clear()
         if changed or not self.is_read:
             self.is_read = True
             self.on_change(changed, self.version)
@@ -66,6 +72,22 @@
         """Return the rows that changed after a version."""
         return [row for row in self.rows.values() if row.version > version]
 
+    def line_since(self, version: int) -> bytes:
+        """Return an encoded message with the changes after a version.
+
+        Most hosts have the same version when they connect to a new
+        coordinator. Encoding a large configuration for each of them would
+        delay its heartbeats.
+        """
+        line = self.lines.get(version)
+        if line is None:
+            if len(self.lines) >= MAX_KEPT_LINES:
+                self.lines.clear()
+            rows = self.rows_since(version)
+            line = encode_line(encode_rows(self.table, rows, self.version))
+            self.lines[version] = line
+        return line
+
     def _is_newer(self, row: StoredRow) -> bool:
         present = self.rows.get(row.key)
         if present is not None:
@@ -192,6 +214,14 @@
             if rows:
                 forward(table, rows, mirror.version)
 
+    def lines_since(self, versions: Mapping[str, int]) -> Iterator[bytes]:
+        """Yield an encoded message for each table with its later changes.
+
+        :param versions: version of each table that the receiver has.
+        """
+        for table, mirror in self.mirrors.items():
+            yield mirror.line_since(int(versions.get(table, 0)))
+
     def versions(self) -> dict[str, int]:
         """Return the version up to which each table is up to date."""
         return {table: mirror.version for table, mirror in self.mirrors.items()}
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from oriolearch.adapters.host_links import decode_line
 from oriolearch.ports import StoredRow, TableState
 from oriolearch.relaying import (
     Relay,
@@ -164,3 +165,16 @@
     recorder.read(row('known', 5), row('new', 6), version=6)
     recorder.relay.start_forwarding(recorder.forward)
     assert recorder.sent == ['new']
+
+
+def test_changes_for_new_hosts_are_encoded_once_and_kept_up_to_date() -> None:
+    """Encoding a large table for each host would delay heartbeats."""
+    host = RecordingRelay()
+    host.read(row('a', 1), row('b', 2), version=2)
+    first = next(host.relay.lines_since({TABLE: 1}))
+    assert next(host.relay.lines_since({TABLE: 1})) is first
+    assert [sent.key for sent in decode_rows(decode_line(first))[1]] == ['b']
+    host.read(row('c', 3), version=3)
+    later = next(host.relay.lines_since({TABLE: 1}))
+    _, rows, version = decode_rows(decode_line(later))
+    assert ([sent.key for sent in rows], version) == (['b', 'c'], 3)
