--- a/src/oriolearch/adapters/heads.py
+++ b/src/oriolearch/adapters/heads.py
@@ -1,17 +1,23 @@
-"""HTTP connections that reject a response whose head is cut off.
+"""HTTP connections that reject a response whose head is cut off or invalid.
 
 http.client takes the end of the connection for the end of the head. A response
 without its last header fields would then pass for a complete one, such as a
 200 whose ``content-length`` is missing.
 """
 
-from http.client import HTTPException, HTTPResponse, RemoteDisconnected
+from http.client import (
+    BadStatusLine,
+    HTTPException,
+    HTTPResponse,
+    RemoteDisconnected,
+)
 from typing import Any
 
 import urllib3
 from urllib3.connection import HTTPConnection
 
 
+MAX_STATUS = 599
 MAX_HEAD_BYTES = 64 * 1024  # with the interim responses before it
 
 
@@ -48,6 +54,8 @@
         """Read the head.
 
         :raises RemoteDisconnected: when the connection ends in it.
+        :raises BadStatusLine: when the status is outside the protocol;
+            http.client accepts up to 999.
         """
         stream = self.fp
         self.fp = _HeadLines(stream)  # type: ignore[assignment]
@@ -57,6 +65,8 @@
             # A response without a body has closed and dropped the stream.
             if self.fp is not None:
                 self.fp = stream
+        if self.status > MAX_STATUS:
+            raise BadStatusLine(str(self.status))
 
 
 class WholeHeadConnection(HTTPConnection):
--- a/src/oriolearch/adapters/upstream.py
+++ b/src/oriolearch/adapters/upstream.py
@@ -273,7 +273,10 @@
             if not piece:
                 break
             yield piece
-        if response.length:
+        has_uncertain_end = response.length is None and not response.chunked
+        if response.length or (
+            has_uncertain_end and not self.attempt.is_fully_sent
+        ):
             raise self.attempt.close_with_error(None, Failure.CUT_ANSWER)
         response.close()
         self.attempt.complete()
--- a/src/oriolearch/adapters/upstream_links.py
+++ b/src/oriolearch/adapters/upstream_links.py
@@ -5,10 +5,12 @@
 """
 
 import asyncio
+import os
 import socket
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Any
 
 import httptools
@@ -30,6 +32,10 @@
 # Incomplete responses of all connections to upstreams together.
 DEFAULT_RESPONSE_MEMORY_BYTES = 48 * 1024 * 1024
 UNLIMITED_IDLE_S = float('inf')  # only the keep-alive timeout applies
+# A peer that resets a connection after it ended its stream does so at once.
+END_SETTLE_S = 0.05
+MAX_STATUS = 599
+HEAD_END = b'\r\n\r\n'
 MAX_STALE_RESPONSES = 2  # of earlier requests, skipped per connection
 
 HOP_BY_HOP_HEADERS = frozenset(
@@ -144,6 +150,8 @@
     :ivar request_count: number of requests that were sent on it.
     :ivar is_unusable: the connection must not carry another request.
     :ivar is_delimited: the end of the body is known without a close.
+    :ivar has_request_body: the pending request has a body, which the peer may
+        not have read.
     :ivar overhead: received bytes of the exchange other than bodies.
     :ivar overhead_limit: bound on ``overhead``; grows with each chunk.
     """
@@ -171,6 +179,7 @@
         self.skipped_count = 0
         self.is_unusable = False
         self.is_delimited = False
+        self.has_request_body = False
         self.is_closed = False
         self.has_head = False
         self.is_closing = False
@@ -223,12 +232,33 @@
             self.memory.hold(self, len(self.body) + self.overhead)
 
     def eof_received(self) -> bool:
-        """End a response that is delimited by the end of the stream."""
+        """End a response that is delimited by the end of the stream.
+
+        A peer that has not read the whole request resets the connection after
+        that, and its response is not complete.
+        """
         self.is_closed = True
-        if self.pending is not None and self.has_head and not self.is_delimited:
-            self.is_unusable = True
+        if self.pending is None or not self.has_head or self.is_delimited:
+            return False
+        self.is_unusable = True
+        if self.transport.get_write_buffer_size():
+            self._fail('answer ended before the request was sent')
+        elif self.has_request_body:
+            loop = asyncio.get_running_loop()
+            loop.call_later(END_SETTLE_S, self._complete_unless_reset)
+        else:
+            self._complete()
+        return self.pending is not None
+
+    def _complete_unless_reset(self) -> None:
+        if self.pending is None:
+            return
+        sock = self.transport.get_extra_info('socket')
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            self._fail(f'reset after the answer: {os.strerror(error)}')
+        else:
             self._complete()
-        return False
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the pending request and notify the owner."""
@@ -256,6 +286,8 @@
             self.reset()
         self.request_count += 1
         self.accepts = accepts
+        head_size = request.find(HEAD_END) + len(HEAD_END)
+        self.has_request_body = head_size < len(request)
         pending: asyncio.Future[HttpResponse] = loop.create_future()
         self.pending = pending
         timer = loop.call_later(timeout_s, self._time_out)
@@ -309,6 +341,8 @@
         self.has_head = True
         response = self.response
         response.status = self.parser.get_status_code()
+        if not HTTPStatus.CONTINUE <= response.status <= MAX_STATUS:
+            self._fail(f'status {response.status} is outside the protocol')
         names = {name for name, _ in response.headers}
         self.is_delimited = (
             b'content-length' in names
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -1,5 +1,6 @@
 """Attempts to one upstream: connection reuse, limits and cancellation."""
 
+import socket
 import threading
 import time
 from collections.abc import Callable
@@ -193,6 +194,43 @@
         run(make_pool(upstream(script)), 'a')
 
 
+@pytest.mark.parametrize('status', ['000', 600, 999])
+def test_response_with_a_status_outside_the_protocol_is_an_error(
+    upstream: UpstreamFactory, status: int
+) -> None:
+    """Guard against a status that no protocol defines as an answer."""
+
+    def script(call: ReceivedRequest) -> None:
+        call.read_body()
+        call.answer(b'ok', status)
+
+    with pytest.raises(AttemptError):
+        run(make_pool(upstream(script)), 'a')
+
+
+def test_answer_without_a_length_to_an_unfinished_upload_is_an_error(
+    upstream: UpstreamFactory,
+) -> None:
+    """Guard against a part of an answer that passes for a whole one.
+
+    The server answers a long upload at once, ends its stream and resets the
+    connection while the upload is still being sent.
+    """
+
+    def script(call: ReceivedRequest) -> None:
+        call.sock.sendall(
+            b'HTTP/1.1 200 OK\r\noriolearch-attempt: a\r\n\r\npart'
+        )
+        call.sock.shutdown(socket.SHUT_WR)
+        time.sleep(0.05)
+        call.reset()
+
+    attempt = make_attempt(make_pool(upstream(script)), 'a')
+    with pytest.raises(AttemptError):
+        attempt.send(make_request('a', bytes(16 * 1024 * 1024)))
+        attempt.read_response().read_all()
+
+
 @pytest.mark.parametrize(
     'part',
     [b'HTTP/1.1 100 Continue\r\n\r\n', b'x-filler: %s\r\n' % (b'y' * 2000)],
--- a/tests/test_upstream_links.py
+++ b/tests/test_upstream_links.py
@@ -474,3 +474,65 @@
         assert statuses == [503, 200]
 
     run_against(serve, exercise)
+
+
+@pytest.mark.parametrize('status', [b'000', b'99', b'099', b'600', b'999'])
+def test_response_with_a_status_outside_the_protocol_is_an_error(
+    status: bytes,
+) -> None:
+    """A caller must not get a status that no protocol defines as an answer."""
+
+    async def exercise(pool: LinkPool) -> None:
+        with pytest.raises(LinkError):
+            await pool.exchange(REQUEST, 0.5)
+
+    head = b'HTTP/1.1 %s Odd\r\ncontent-length: 2\r\n\r\nok' % status
+    run_against(scripted(head), exercise)
+
+
+def answers_upload(is_upload_read: bool, ends_with_reset: bool) -> Serve:
+    """Return a server whose answer has no length and ends with its stream."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.readuntil(b'\r\n\r\n')
+        if is_upload_read:
+            await reader.readexactly(int(head.rpartition(b':')[2]))
+        else:
+            cast(asyncio.Transport, writer.transport).pause_reading()
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\npart')
+        writer.write_eof()
+        if ends_with_reset:
+            await asyncio.sleep(0.01)
+            writer.transport.abort()
+
+    return serve
+
+
+@pytest.mark.parametrize('size', [200_000, 16 * 1024 * 1024])
+@pytest.mark.parametrize(
+    ('is_upload_read', 'ends_with_reset', 'is_complete'),
+    [(True, False, True), (False, True, False)],
+    ids=['read', 'reset'],
+)
+def test_answer_without_a_length_to_an_upload(
+    is_upload_read: bool, ends_with_reset: bool, is_complete: bool, size: int
+) -> None:
+    """A part of an answer must not pass for a whole one.
+
+    The server answers a long upload at once, ends its stream and resets the
+    connection while the upload is still being sent.
+    """
+    request = b'PUT /x HTTP/1.1\r\ncontent-length:%d\r\n\r\n' % size
+    request += bytes(size)
+
+    async def exercise(pool: LinkPool) -> None:
+        if is_complete:
+            answer = await pool.exchange(request, 2)
+            assert answer.body == b'part'
+            return
+        with pytest.raises(LinkError):
+            await pool.exchange(request, 2)
+
+    run_against(answers_upload(is_upload_read, ends_with_reset), exercise)
