--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -118,6 +118,7 @@
     :ivar possible_arrivals: attempts that may have reached an upstream.
     :ivar is_expired: its deadline passed and an upstream may have run it.
     :ivar shortage: what the refusal of the last reservation was based on.
+    :ivar reservation: the reservation that it waits for.
     :ivar tried: upstreams of earlier attempts, avoided by a retry.
     :ivar avoided: upstreams that want no requests of this host now.
     :ivar carriers: connections of earlier attempts, not used by a retry.
@@ -147,6 +148,7 @@
         self.is_keyed = is_keyed
         self.key = head.key or 0
         self.owner: Incarnation | None = None
+        self.reservation: ReservationFuture | None = None
         self.tried: frozenset[Incarnation] = frozenset()
         self.avoided: frozenset[Incarnation] = frozenset()
         self.carriers: set[Link] = set()
@@ -204,6 +206,7 @@
         self.reservation_router = ReservationRouter(
             address, self.local_dispatch
         )
+        self.reservation_router.renew = self._renew_reservation
         self.retries: dict[str, Budget] = {}
         self.link_pools: dict[str, LinkPool] = {}
         self.response_memory = ResponseMemory()
@@ -600,6 +603,7 @@
 
     async def _request_reservation(self, job: _ForwardedRequest) -> Reservation:
         future: ReservationFuture = asyncio.get_running_loop().create_future()
+        job.reservation = future
         self.reserving[future] = job
         try:
             return await self.reservation_router.reserve(
@@ -608,7 +612,20 @@
                 future,
             )
         finally:
-            del self.reserving[future]
+            del self.reserving[job.reservation]
+
+    def _renew_reservation(
+        self, failed: ReservationFuture
+    ) -> ReservationFuture:
+        """Return the future of a reservation that is made anew.
+
+        A change of the owner is reported to the future that is waited for.
+        """
+        future: ReservationFuture = asyncio.get_running_loop().create_future()
+        job = self.reserving.pop(failed)
+        job.reservation = future
+        self.reserving[future] = job
+        return future
 
     async def _find_owner(self, job: _ForwardedRequest) -> Incarnation:
         """Wait until the key has an owner.
--- a/src/oriolearch/placing.py
+++ b/src/oriolearch/placing.py
@@ -525,6 +525,7 @@
     :ivar hosts: capacity of each host that dispatches, by address.
     :ivar is_list_confirmed: returns whether the list of these hosts is
         certainly that of all others.
+    :ivar renew: returns the future that replaces one that has failed.
     :ivar owner_hosts: dispatching hosts of keyed upstreams.
     :ivar pool_hosts: dispatching hosts of whole pools, which are hosts of the
         highest capacity. A pool is a far higher load than one upstream.
@@ -538,6 +539,7 @@
         self.pool_hosts = _Rendezvous()
         self.clients: dict[str, DispatchClient] = {}
         self.is_list_confirmed: Callable[[], bool] = _is_confirmed
+        self.renew: Callable[[ReservationFuture], ReservationFuture] = _renew
         self.set_dispatching_hosts({address: 1.0})
 
     def set_dispatching_hosts(self, hosts: Mapping[str, float]) -> None:
@@ -595,7 +597,7 @@
             try:
                 return await client.reserve(pool, request, future)
             except DispatchHostLostError:
-                future = asyncio.get_running_loop().create_future()
+                future = self.renew(future)
         request.may_use_cold = False
         return await self._reserve_here(pool, request, future)
 
@@ -669,6 +671,10 @@
     return True
 
 
+def _renew(failed: ReservationFuture) -> ReservationFuture:
+    return asyncio.get_running_loop().create_future()
+
+
 def encode_request(
     number: int,
     pool: str,
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -24,11 +24,14 @@
     CLIENT_TIMEOUT_S,
     AttemptResult,
     DispatchClient,
+    DispatchHostLostError,
     DispatchServer,
     EndKind,
     SUBSTITUTES_RATE_SHARE,
     UNCONFIRMED_RATE_SHARE,
     LocalDispatch,
+    QueuedOwnerMovedError,
+    ReservationFuture,
     ReservationRouter,
     decode_refusal,
     decode_request,
@@ -285,3 +288,52 @@
     assert decode_request(message, 0.0).avoided == request.avoided
     del message['avoided']
     assert not decode_request(message, 0.0).avoided
+
+
+class LostClient:
+    """A dispatching host that is lost while it decides."""
+
+    def is_usable(self, now: float) -> bool:
+        return True
+
+    async def reserve(self, *call: object) -> None:
+        raise DispatchHostLostError('h1')
+
+
+def test_owner_may_change_after_the_dispatching_host_is_lost(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against requests that stay queued for a former owner.
+
+    The change was reported to the future that the lost host had failed, and
+    nobody waited for that any more.
+    """
+    router = make_router({'h0': 1.0, 'h1': 1.0})
+    owner = next(
+        owner
+        for owner in OWNERS
+        if router.find_dispatching_host('orders', owner) == 'h1'
+    )
+    router.clients['h1'] = cast(DispatchClient, LostClient())
+    dispatch = router.local_dispatch
+    withdrawn: list[str] = []
+    monkeypatch.setattr(dispatch, 'submit', lambda *call: None)
+    monkeypatch.setattr(
+        dispatch, 'withdraw', lambda pool, request: withdrawn.append(pool)
+    )
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        renewed: ReservationFuture = loop.create_future()
+        router.renew = lambda failed: renewed
+        loop.call_soon(
+            loop.call_soon,
+            renewed.set_exception,
+            QueuedOwnerMovedError('orders'),
+        )
+        request = QueuedRequest('z1', 1, 1.0, 2.0, owner=owner)
+        with pytest.raises(QueuedOwnerMovedError):
+            await router.reserve('orders', request, loop.create_future())
+
+    asyncio.run(run())
+    assert withdrawn == ['orders']
