--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -18,7 +18,9 @@
 from dataclasses import dataclass
 
 from oriolearch.core.directory import Incarnation, PoolPlan, UpstreamEntry
+from oriolearch.core.fairness import FairOrder
 from oriolearch.core.notices import NO_LIMIT
+from oriolearch.core.returns import ReturnTimes
 from oriolearch.core.service_times import Spread
 from oriolearch.core.upstream_state import (
     INITIAL_SERVICE_TIME_S,
@@ -38,9 +40,11 @@
 # An upstream in the request's zone is preferred up to this much longer wait.
 CROSS_ZONE_COST_S = 0.01
 UPLOAD_CROSS_ZONE_COST_S = 0.2  # traffic between zones is expensive
-MIN_RETRY_AFTER_S = 0.05
 # Keys of a silent upstream usually move to another one within a few seconds.
 UNAVAILABLE_RETRY_AFTER_S = 1.0
+# Of the mean answer time. In an overload most requests wait until they can just
+# meet their objective, and with the mean alone half of them would miss it.
+ANSWER_MARGIN = 1.1
 WAIT_JITTER_SHARE = 0.05  # waits that differ by less are ordered at random
 
 
@@ -87,6 +91,8 @@
         self.cold_burst = cold_burst
         self.service_time_s = INITIAL_SERVICE_TIME_S
         self.spread = Spread()
+        self.fair_order = FairOrder()
+        self.return_times = ReturnTimes(rng)
 
     def set_upstreams(
         self,
@@ -142,9 +148,12 @@
         upstream.is_usable = False
         if not upstream.running:
             del self.upstreams[ref]
+            self.return_times.forget(ref)
 
     def submit(self, now: float, request: QueuedRequest) -> None:
         """Assign a request to an upstream, queue it or refuse it."""
+        self.fair_order.record_asked(now, request.priority)
+        self.return_times.record_arrival(now, request.owner)
         upstream = self._choose(now, request)
         if upstream is not None and not self._is_queued_ahead(
             now, request, upstream
@@ -354,6 +363,7 @@
         upstream.running[request] = None
         upstream.count_recent(now)
         upstream.recent.append(now)
+        self.fair_order.record_served(now, request.priority)
         request.assigned_at = now
         if now < upstream.cold_until:
             upstream.cold_tokens.spend()
@@ -509,13 +519,13 @@
         """
         if not outlook.usable:
             request.shortage = Shortage(0, ahead)
-            return UNAVAILABLE_RETRY_AFTER_S
+            return self.return_times.spread(UNAVAILABLE_RETRY_AFTER_S)
         answer_at = now + outlook.soonest_s + ahead / outlook.rate
         late_s = answer_at - request.deadline
         if late_s <= 0:
             return None
         request.shortage = _describe_shortage(now, outlook, ahead)
-        return max(late_s, MIN_RETRY_AFTER_S)
+        return self.return_times.find(now, request.owner, late_s, outlook.rate)
 
     def _service_rate(self, now: float, upstream: UpstreamState) -> float:
         rate = upstream.entry.slots / upstream.service_time_s
@@ -535,11 +545,12 @@
 
         A request that would miss its latency objective even if it were
         assigned now ranks behind those that can meet theirs. If requests
-        were ordered by objective alone, all would be late in an overload.
+        were ordered by objective alone, all would be late in an overload. Next
+        comes the order of kinds, by priority unless one gets too little.
         """
         is_late = now + self._expected_answer_s(request) > request.objective_at
         urgent_at = request.deadline if is_late else request.objective_at
-        return is_late, request.priority, urgent_at
+        return is_late, self.fair_order.rank(now, request.priority), urgent_at
 
     def _expected_answer_s(self, request: QueuedRequest) -> float:
         """Return the expected seconds from assignment to answer."""
@@ -547,7 +558,8 @@
         service_time_s = (
             upstream.service_time_s if upstream else self.service_time_s
         )
-        return service_time_s * (1 + QUEUED_AT_UPSTREAM / 2)
+        mean_s = service_time_s * (1 + QUEUED_AT_UPSTREAM / 2)
+        return mean_s * ANSWER_MARGIN
 
     def _candidates(self, owner: Incarnation | None) -> list[UpstreamState]:
         if owner is None:
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -203,6 +203,7 @@
             'key',
             'upstream',
             'sends',
+            'age_s',
             'shortage',
         ),
         'The host answered a request in place of an upstream.',
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -28,6 +28,7 @@
 from oriolearch.core.keyranges import OwnerMap
 from oriolearch.core.lapses import LapsedLeases
 from oriolearch.core.notices import NO_LIMIT, Facts, Notice
+from oriolearch.core.request_age import RequestAges
 from oriolearch.core.retries import Budget
 from oriolearch.core.upstream_state import QueuedRequest, Shortage
 from oriolearch.clock import lease_clock, loop_clock
@@ -118,6 +119,8 @@
     :ivar possible_arrivals: attempts that may have reached an upstream.
     :ivar is_expired: its deadline passed and an upstream may have run it.
     :ivar shortage: what the refusal of the last reservation was based on.
+    :ivar age_s: time since the first attempt of the caller, as far as it is
+        known.
     :ivar reservation: the reservation that it waits for.
     :ivar tried: upstreams of earlier attempts, avoided by a retry.
     :ivar avoided: upstreams that want no requests of this host now.
@@ -148,6 +151,7 @@
         self.is_keyed = is_keyed
         self.key = head.key or 0
         self.owner: Incarnation | None = None
+        self.age_s = 0.0
         self.reservation: ReservationFuture | None = None
         self.tried: frozenset[Incarnation] = frozenset()
         self.avoided: frozenset[Incarnation] = frozenset()
@@ -159,7 +163,8 @@
             zone=zone,
             priority=self.route.priority,
             objective_at=self.request.received_at
-            + self.route.latency_objective_s,
+            + self.route.latency_objective_s
+            - self.age_s,
             deadline=self.deadline,
             owner=self.owner,
             is_upload=self.route.is_upload,
@@ -216,6 +221,7 @@
         self.count_key: Callable[[str, int], None] = _ignore_key
         self.hears_coordinator: Callable[[], bool] = _is_always_in_contact
         self.lapsed_leases = LapsedLeases()
+        self.request_ages = RequestAges()
         self.latencies = Latencies()
         self.stops_at: float | None = None
         self.late_from = float('inf')
@@ -417,6 +423,7 @@
             key=head.key,
             upstream=job.owner.text() if job and job.owner else None,
             sends=job.possible_runs if job else 0,
+            age_s=round(job.age_s, 3) if job else 0.0,
             shortage=asdict(job.shortage) if job and job.shortage else None,
         )
         self.latencies.record('', str(refusal.status), took_s)
@@ -514,6 +521,7 @@
             self.count_key(pool, head.key)
         job = _ForwardedRequest(request, head, route, pool, plan.is_keyed)
         job.config_version = directory.version
+        job.age_s = self.request_ages.find(route.name, head.timeout_s)
         if self._is_too_late(job):
             raise self._make_stop_refusal(job)
         return job
--- a/src/oriolearch/gauges.py
+++ b/src/oriolearch/gauges.py
@@ -1,6 +1,6 @@
 """Gauges of a host's queues, limits and coordination state."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import TypeVar
 
 from oriolearch.adapters.metrics import render_gauges
@@ -53,6 +53,11 @@
             'Upstreams whose machines are slowed down at the moment.',
             _each(dispatchers, _slowed),
         ),
+        (
+            'served_ratio',
+            'Recent requests of a priority that got an upstream, of all.',
+            list(_served(dispatchers)),
+        ),
         (
             'second_sends_left',
             'Second sends that may be made now.',
@@ -167,6 +172,13 @@
     )
 
 
+def _served(dispatchers: Mapping[str, Dispatcher]) -> Iterator[Sample]:
+    """Yield a sample for each pool and priority with recent requests."""
+    for pool, dispatcher in dispatchers.items():
+        for priority, share in dispatcher.fair_order.served_shares():
+            yield {'pool': pool, 'priority': str(priority)}, round(share, 3)
+
+
 def _limited(dispatcher: Dispatcher, notices: NoticeBoard) -> int:
     return sum(ref in notices.rate_limits for ref in dispatcher.upstreams)
 
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -728,11 +728,13 @@
         self.dispatcher.submit(now, request)
         if request.assigned_to is not None:
             self.arrivals.append(now)
-            upstream = self.dispatcher.upstreams[A]
-            self.dispatcher.record_answer(now, upstream, 0.1)
-            self.dispatcher.release(request)
+            self.answer(now, request)
         self.dispatcher.withdraw(request)
 
+    def answer(self, now: float, request: QueuedRequest) -> None:
+        self.dispatcher.record_answer(now, self.dispatcher.upstreams[A], 0.1)
+        self.dispatcher.release(request)
+
 
 def offer_until(host: LimitedHost, begins_at: float, ends_at: float) -> None:
     for step in range(int((ends_at - begins_at) / STEP_S)):
@@ -790,6 +792,8 @@
     requests = [make_request(deadline=4.0) for _ in range(6)]
     for request in requests:
         host.dispatcher.submit(3.0, request)
+        if request.assigned_to is not None:
+            host.answer(3.1, request)
     assert requests[-1].retry_after_s
     back_at = 3.0 + requests[-1].retry_after_s
     retry = make_request(deadline=back_at + 1.0)
