--- a/src/oriolearch/adapters/caller_links.py
+++ b/src/oriolearch/adapters/caller_links.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
@@ -15,20 +16,31 @@
 
 import httptools
 
-from oriolearch.adapters.upstream_links import HOP_BY_HOP_HEADERS, Headers
+from oriolearch.adapters.memory import MemoryAccount
+from oriolearch.adapters.upstream_links import (
+    HOP_BY_HOP_HEADERS,
+    Headers,
+    reset,
+)
 from oriolearch.clock import loop_clock
 from oriolearch.core.directory import CallerLimits
+from oriolearch.core.memory_budget import HeldKind, Holding, reply_kind
 
 MAX_PIPELINED_BYTES = 65536  # buffered per connection before reading pauses
 # Requests of one connection that are handled at once. Each may hold an answer
 # of several megabytes until those before it are sent.
 MAX_PIPELINED_REQUESTS = 8
 PARSED_BYTES = 4096  # parsed at once, which bounds the requests that are queued
+SEND_BUFFER_BYTES = 65536  # of the kernel, for each caller
+DEFAULT_BACKLOG = 100  # connections that are not yet accepted
 MAX_CHUNK_FRAMING_BYTES = 16  # size line and line ends of a chunk
 # Time in which a caller reads the last reply. Closing a socket with unread
 # bytes would reset the connection and discard that reply.
 LINGER_S = 1.0
 MAX_TOTAL_BODY_BYTES = 64 * 1024 * 1024  # of all requests in memory
+# Replies of one connection that are held, whether written or waiting for their
+# turn. Beyond that no further pipelined request is handled.
+MAX_LINK_REPLY_BYTES = 4 * 1024 * 1024
 
 
 @dataclass(slots=True)
@@ -72,6 +84,8 @@
 
     :param is_safe: returns whether a request may be handled concurrently with
         others of its connection.
+    :param account: counts the requests and replies of all connections.
+    :ivar max_body_bytes: of all requests in memory.
     :ivar links: open connections.
     :ivar body_bytes: size of the request bodies in memory.
     :ivar is_stopping: connections are closed once they are idle.
@@ -81,14 +95,35 @@
         self,
         handler: Handler,
         is_safe: Callable[[IncomingRequest], bool] = has_safe_method,
+        account: MemoryAccount | None = None,
     ) -> None:
         self.handler = handler
         self.is_safe = is_safe
+        self.account = account or MemoryAccount()
+        self.account.sources.append(self.holdings)
+        self.max_body_bytes = MAX_TOTAL_BODY_BYTES
         self.limits = CallerLimits()
         self.links: set[CallerLink] = set()
         self.body_bytes = 0
         self.is_stopping = False
 
+    async def open(
+        self, host: str, port: int, backlog: int = DEFAULT_BACKLOG
+    ) -> asyncio.Server:
+        """Accept connections at an address.
+
+        Accepted sockets inherit the small send buffer. With a large one, what
+        a slow caller reads would not be seen for many seconds.
+        """
+        server = await asyncio.get_running_loop().create_server(
+            self.create_protocol, host, port, backlog=backlog
+        )
+        for sock in server.sockets:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+            )
+        return server
+
     def create_protocol(self) -> 'CallerLink':
         """Return the protocol for a new connection."""
         return CallerLink(self)
@@ -104,10 +139,16 @@
             link.stop()
 
     def close_expired(self, now: float) -> None:
-        """Close connections that exceed the idle or header timeout."""
+        """Close connections that exceed the idle or header timeout.
+
+        A caller that reads nothing of its reply for the idle timeout is reset,
+        since a close would wait until it has read everything.
+        """
         limits = self.limits
         for link in list(self.links):
-            if link.queue:
+            if link.stalled_s(now) > limits.idle_timeout_s:
+                link.drop_replies('unread for too long')
+            if link.queue or link.is_unread():
                 continue
             limit_s = limits.idle_timeout_s
             if link.is_reading:
@@ -115,6 +156,12 @@
             if now - link.last_active_at > limit_s:
                 link.close()
 
+    def holdings(self) -> Iterator[Holding]:
+        """Yield what is held for each connection."""
+        now = loop_clock()
+        for link in list(self.links):
+            yield from link.holdings(now)
+
 
 class _Exchange:
     """A request that was read, until its reply is sent.
@@ -146,6 +193,9 @@
     :ivar awaits_continue: the caller waits for 100 Continue, which is sent
         once the replies to the requests before are sent.
     :ivar is_read_to_end: no further request is read.
+    :ivar unread_bytes: written bytes that the caller had not read when they
+        were last looked at.
+    :ivar read_at: when it was last seen to have read some.
     """
 
     def __init__(self, listener: CallerListener) -> None:
@@ -165,6 +215,8 @@
         self.is_read_to_end = False
         self.is_write_paused = False
         self.last_active_at = 0.0
+        self.unread_bytes = 0
+        self.read_at = 0.0
 
     def connection_made(self, transport: Any) -> None:
         """Store the transport and register the connection."""
@@ -210,6 +262,70 @@
         if self.transport is not None:
             self.transport.close()
 
+    def is_unread(self) -> bool:
+        """Return whether written bytes wait for the caller to read."""
+        transport = self.transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
+    def stalled_s(self, now: float) -> float:
+        """Return for how long the caller has read nothing of its replies."""
+        if self.transport is None:
+            return 0.0
+        unread_bytes = self.transport.get_write_buffer_size()
+        if not unread_bytes or unread_bytes < self.unread_bytes:
+            self.read_at = now
+        self.unread_bytes = unread_bytes
+        return now - self.read_at
+
+    def holdings(self, now: float) -> Iterator[Holding]:
+        """Yield what is held for this connection."""
+        stalled_s = self.stalled_s(now)
+        reply_bytes = self._reply_bytes()
+        if reply_bytes:
+            yield Holding(
+                reply_kind(stalled_s),
+                reply_bytes,
+                reply_bytes,
+                stalled_s,
+                self.drop_replies,
+            )
+        if self.incoming.body_size:
+            yield Holding(
+                HeldKind.INCOMING_BODY,
+                self.incoming.body_size,
+                self._missing_body_bytes(),
+                now - self.last_active_at,
+                self._refuse_body,
+            )
+        queued_bytes = sum(exchange.body_size for exchange in self.queue)
+        if queued_bytes:
+            yield Holding(
+                HeldKind.COMPLETE_REQUEST, queued_bytes, 0, 0.0, _keep
+            )
+
+    def drop_replies(self, reason: str) -> None:
+        """Reset the connection, as its replies take memory in vain."""
+        reset(self.transport)
+
+    def _reply_bytes(self) -> int:
+        """Return the size of the replies that the caller has not read."""
+        waiting = sum(
+            len(exchange.reply.body)
+            for exchange in self.queue
+            if exchange.reply
+        )
+        return waiting + self.unread_bytes
+
+    def _missing_body_bytes(self) -> int:
+        length = self.incoming.request.header(b'content-length') or b''
+        size = int(length) if length.isdigit() else 0
+        if not size:
+            size = self.listener.limits.body_bytes
+        return max(size - self.incoming.body_size, 0)
+
+    def _refuse_body(self, reason: str) -> None:
+        self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes, or buffer them while enough requests are queued."""
         if self.is_read_to_end:
@@ -276,10 +392,11 @@
         self.listener.body_bytes += len(data)
         if self.incoming.body_size > self.listener.limits.body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        elif self.listener.body_bytes > MAX_TOTAL_BODY_BYTES:
+        elif self.listener.body_bytes > self.listener.max_body_bytes:
             self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
         else:
             self.chunks.append(data)
+            self.listener.account.grow(len(data))
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
@@ -362,6 +479,8 @@
         for position, exchange in enumerate(self.queue):
             if position == MAX_PIPELINED_REQUESTS:
                 return
+            if position and self._reply_bytes() > MAX_LINK_REPLY_BYTES:
+                return
             if len(self.queue) > 1 and not self._is_safe(exchange):
                 if position == 0:
                     yield exchange
@@ -395,13 +514,21 @@
                 return
             self.queue.popleft()
             self.last_active_at = loop_clock()
-            self.transport.write(
-                _render(exchange.request, exchange.reply, exchange.is_last),
+            self._write(
+                _render(exchange.request, exchange.reply, exchange.is_last)
             )
             if exchange.is_last:
                 self._close_after_reply()
         self._send_continue()
 
+    def _write(self, reply: bytes) -> None:
+        self.stalled_s(self.last_active_at)
+        self.transport.write(reply)
+        growth = self.transport.get_write_buffer_size() - self.unread_bytes
+        self.unread_bytes += growth
+        if growth > 0:
+            self.listener.account.grow(growth)
+
     def _send_continue(self) -> None:
         if self.awaits_continue and not self.queue:
             self.awaits_continue = False
@@ -421,6 +548,10 @@
         exchange.body_size = 0
 
 
+def _keep(reason: str) -> None:
+    """Keep a request, which may be running."""
+
+
 def _render(request: IncomingRequest, reply: Reply, is_last: bool) -> bytes:
     phrase = _PHRASES.get(reply.status, 'Unknown')
     lines = [b'HTTP/1.1 %d %s' % (reply.status, phrase.encode())]
--- a/src/oriolearch/adapters/upstream_links.py
+++ b/src/oriolearch/adapters/upstream_links.py
@@ -8,16 +8,18 @@
 import os
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
 
 import httptools
 
+from oriolearch.adapters.memory import MemoryAccount
 from oriolearch.addresses import split_address
 from oriolearch.clock import loop_clock
 from oriolearch.core.errors import OriolearchError
+from oriolearch.core.memory_budget import HeldKind, Holding
 
 CONNECT_TIMEOUT_S = 0.5  # the kernel retransmits a lost SYN after 1 s
 IDLE_MARGIN_S = 1.0  # stop reusing a connection this long before it expires
@@ -26,6 +28,7 @@
 # Heads, interim responses, trailers and chunk extensions of one response. A
 # faulty peer may send any of these without end.
 MAX_RESPONSE_OVERHEAD_BYTES = 64 * 1024
+MAX_LENGTH_DIGITS = 10  # of a length that is meant
 MAX_CHUNK_FRAMING_BYTES = 16  # size line and line ends of a chunk
 MAX_INTERIM_RESPONSES = 8  # 1xx responses before the final one
 MAX_CHUNKS = 65536  # of one response
@@ -118,13 +121,18 @@
     """Bounds the memory of all incomplete responses together.
 
     :param limit_bytes: the largest response is dropped beyond that.
+    :param account: counts these responses beside all else that is held.
     :ivar held_bytes: bytes of all incomplete responses.
     """
 
     def __init__(
-        self, limit_bytes: int = DEFAULT_RESPONSE_MEMORY_BYTES
+        self,
+        limit_bytes: int = DEFAULT_RESPONSE_MEMORY_BYTES,
+        account: MemoryAccount | None = None,
     ) -> None:
         self.limit_bytes = limit_bytes
+        self.account = account or MemoryAccount()
+        self.account.sources.append(self.holdings)
         self.held_bytes = 0
         self.sizes: dict[Link, int] = {}
 
@@ -134,12 +142,26 @@
         A faulty upstream sends more than others, so the largest response is
         the one to drop.
         """
-        self.held_bytes += size - self.sizes.pop(link, 0)
+        growth = size - self.sizes.pop(link, 0)
+        self.held_bytes += growth
         if size:
             self.sizes[link] = size
         while self.held_bytes > self.limit_bytes and self.sizes:
             largest = max(self.sizes, key=self.sizes.__getitem__)
             largest.drop_response('the answers take too much memory')
+        if growth > 0:
+            self.account.grow(growth)
+
+    def holdings(self) -> Iterator[Holding]:
+        """Yield what is held for each response."""
+        for link, size in list(self.sizes.items()):
+            yield Holding(
+                HeldKind.INCOMING_ANSWER,
+                size,
+                max(link.expected_size - size, 0),
+                0.0,
+                link.drop_response,
+            )
 
 
 class Link(asyncio.Protocol):
@@ -187,6 +209,14 @@
         self.idle_since = 0.0
         self.reset()
 
+    @property
+    def expected_size(self) -> int:
+        """Return the size of the response, or the most that it may have."""
+        length = self.response.header(b'content-length') or b''
+        if length.isdigit() and len(length) < MAX_LENGTH_DIGITS:
+            return int(length)
+        return MAX_RESPONSE_BODY_BYTES
+
     def reset(self) -> None:
         """Prepare for the next response."""
         self.parser = httptools.HttpResponseParser(self)
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -370,6 +370,20 @@
         'The coordinator divided the load of a pool among its upstreams; '
         'shares are multiples of the mean. Written every two seconds.',
     )
+    MEMORY_EXCEEDED = EventKind(
+        447,
+        logging.WARNING,
+        (
+            'kind',
+            'dropped_bytes',
+            'left_bytes',
+            'stalled_s',
+            'held_bytes',
+            'limit_bytes',
+        ),
+        'The host held too many bytes for callers and upstreams and dropped '
+        'what is least likely to be of use.',
+    )
     LEASES_LAPSED = EventKind(
         441,
         logging.WARNING,
--- a/src/oriolearch/gauges.py
+++ b/src/oriolearch/gauges.py
@@ -79,6 +79,7 @@
 def _coordination(coordination: Coordination) -> list[Gauge]:
     now = lease_clock()
     leadership = coordination.leadership
+    memory = coordination.forwarder.response_memory
     left_s = leadership.authority.ends_at() - now if leadership else 0.0
     confirmed = _each(leadership.pools, _confirmed) if leadership else []
     versions = coordination.relay.versions().items()
@@ -106,7 +107,15 @@
         (
             'held_answer_bytes',
             'Bytes of incomplete answers of upstreams.',
-            [({}, coordination.forwarder.response_memory.held_bytes)],
+            [({}, memory.held_bytes)],
+        ),
+        (
+            'held_bytes',
+            'Bytes that are held for callers and upstreams.',
+            [
+                ({'kind': kind.name.lower()}, held_bytes)
+                for kind, held_bytes in memory.account.held_bytes().items()
+            ],
         ),
         (
             'paused_upstreams',
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -17,6 +17,7 @@
 from oriolearch.addresses import split_address
 from oriolearch.coordination import Coordination, HostIdentity
 from oriolearch.core.errors import ValidationError
+from oriolearch.core.memory_budget import Holding
 from oriolearch.core.versions import VersionLedger
 from oriolearch.eventlog import Event, EventLog, configure_pipe_logging
 from oriolearch.eventloop import new_event_loop
@@ -49,6 +50,11 @@
 # Share of the host's memory for incomplete answers of upstreams. The process
 # itself takes up to 60 MB on a large installation, and hosts have 200 MB.
 RESPONSE_MEMORY_SHARE = 0.25
+# Share for the bodies of requests.
+BODY_MEMORY_SHARE = 0.25
+# Share for all that is held for callers and upstreams together. Bytes that the
+# kernel buffers count as well for the platform.
+MEMORY_SHARE = 0.4
 RETRY_BUDGET_SHARE = 0.85  # share of the platform's retry budget that hosts use
 COLD_BURST_SHARE = 0.5  # share of a cold upstream's slack that a burst may use
 # Allocations between collections; reference cycles are rare on the request
@@ -76,10 +82,15 @@
         )
         memory = self.forwarder.response_memory
         memory.limit_bytes = int(settings.memory_bytes * RESPONSE_MEMORY_SHARE)
+        self.account = memory.account
+        self.account.limit_bytes = int(settings.memory_bytes * MEMORY_SHARE)
+        self.account.on_dropped = self._log_dropped
         self.grants = GrantCalls(memory)
         self.listener = CallerListener(
-            self.forwarder.serve,
-            self.forwarder.is_safe,
+            self.forwarder.serve, self.forwarder.is_safe, self.account
+        )
+        self.listener.max_body_bytes = int(
+            settings.memory_bytes * BODY_MEMORY_SHARE
         )
         self.readiness = CallerListener(self._answer_readiness)
         self.servers: list[asyncio.Server] = []
@@ -125,7 +136,6 @@
 
     async def start(self) -> None:
         """Listen for callers and other hosts, and start all tasks."""
-        loop = asyncio.get_running_loop()
         settings = self.settings
         self.log.emit(
             Event.HOST_STARTED,
@@ -143,10 +153,8 @@
             (self.readiness, settings.readiness),
             (self.metrics, f'{settings.ip}:{settings.metrics_port}'),
         ):
-            server = await loop.create_server(
-                listener.create_protocol,
-                *split_address(address),
-                backlog=ACCEPT_BACKLOG,
+            server = await listener.open(
+                *split_address(address), ACCEPT_BACKLOG
             )
             self.servers.append(server)
         for table_watch in self.table_watches:
@@ -168,6 +176,17 @@
         ):
             self.coordination.spawn_lasting(name, start)
 
+    def _log_dropped(self, holding: Holding, held_bytes: int) -> None:
+        self.log.emit(
+            Event.MEMORY_EXCEEDED,
+            kind=holding.kind.name.lower(),
+            dropped_bytes=holding.held_bytes,
+            left_bytes=holding.left_bytes,
+            stalled_s=round(holding.stalled_s, 3),
+            held_bytes=held_bytes,
+            limit_bytes=self.account.limit_bytes,
+        )
+
     async def _answer_readiness(self, request: IncomingRequest) -> Reply:
         is_ready = request.target == READY_PATH and self._is_ready()
         return Reply(200 if is_ready else 503)
--- a/tests/test_caller_links.py
+++ b/tests/test_caller_links.py
@@ -518,6 +518,9 @@
     def is_closing(self) -> bool:
         return False
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def pause_reading(self) -> None:
         """Do nothing, since a test sends all bytes."""
 
