--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -525,7 +525,10 @@
         if late_s <= 0:
             return None
         request.shortage = _describe_shortage(now, outlook, ahead)
-        return self.return_times.find(now, request.owner, late_s, outlook.rate)
+        slack_s = request.objective_at - now - self._expected_answer_s(request)
+        return self.return_times.find(
+            now, request.owner, late_s, outlook.rate, slack_s
+        )
 
     def _service_rate(self, now: float, upstream: UpstreamState) -> float:
         rate = upstream.entry.slots / upstream.service_time_s
--- a/src/oriolearch/core/request_age.py
+++ b/src/oriolearch/core/request_age.py
@@ -1,44 +1,52 @@
 """Infers how long a caller has waited before its present attempt.
 
 A caller that comes back after a refusal sends the time that it still waits,
-which is less than at its first attempt. Most requests of a route are first
-attempts with the same time, so that the difference is the time since then. The
-latency objective counts from the first attempt.
+which is clearly less than at its first attempt. Where most requests of a route
+name about the same time, these are first attempts, and the difference is the
+time since then. The latency objective counts from the first attempt.
 """
 
-from collections import Counter, deque
+from bisect import bisect_left, bisect_right, insort
+from collections import deque
 from dataclasses import dataclass, field
 
 REMEMBERED_REQUESTS = 64  # of a route
+MIN_REQUESTS = 16  # before the usual time is known
+# Returning callers lower the median, so that a higher quantile is compared.
+USUAL_QUANTILE = 0.75
+# Part of the usual time below which a caller has come back.
+MIN_FIRST_SHARE = 0.8
 # A route whose callers do not agree on a time tells nothing about their age.
-MIN_USUAL_SHARE = 0.3
+MIN_USUAL_SHARE = 0.4
 MAX_ROUTES = 10_000
 
 
 @dataclass(slots=True)
 class _Timeouts:
-    """Timeouts of the recent requests of one route, in milliseconds."""
+    """Timeouts of the recent requests of one route, in seconds."""
 
-    recent: deque[int] = field(default_factory=deque)
-    counts: Counter[int] = field(default_factory=Counter)
-    usual_ms: int = 0
+    recent: deque[float] = field(default_factory=deque)
+    ordered: list[float] = field(default_factory=list)
 
-    def record(self, timeout_ms: int) -> None:
-        self.recent.append(timeout_ms)
-        self.counts[timeout_ms] += 1
+    def record(self, timeout_s: float) -> None:
+        self.recent.append(timeout_s)
+        insort(self.ordered, timeout_s)
         if len(self.recent) > REMEMBERED_REQUESTS:
             oldest = self.recent.popleft()
-            self.counts[oldest] -= 1
-            if not self.counts[oldest]:
-                del self.counts[oldest]
-        if self.counts[timeout_ms] >= self.counts[self.usual_ms]:
-            self.usual_ms = timeout_ms
+            del self.ordered[bisect_left(self.ordered, oldest)]
 
-    def find_age_ms(self, timeout_ms: int) -> int:
-        usual_count = self.counts[self.usual_ms]
-        if usual_count < MIN_USUAL_SHARE * len(self.recent):
-            return 0
-        return max(self.usual_ms - timeout_ms, 0)
+    def find_age(self, timeout_s: float) -> float:
+        count = len(self.ordered)
+        if count < MIN_REQUESTS:
+            return 0.0
+        usual_s = self.ordered[int(USUAL_QUANTILE * count)]
+        if timeout_s >= MIN_FIRST_SHARE * usual_s:
+            return 0.0
+        lowest = bisect_left(self.ordered, MIN_FIRST_SHARE * usual_s)
+        highest = bisect_right(self.ordered, usual_s / MIN_FIRST_SHARE)
+        if highest - lowest < MIN_USUAL_SHARE * count:
+            return 0.0
+        return usual_s - timeout_s
 
 
 class RequestAges:
@@ -57,6 +65,5 @@
             if len(self.routes) >= MAX_ROUTES:
                 self.routes.clear()
             timeouts = self.routes.setdefault(route, _Timeouts())
-        timeout_ms = round(timeout_s * 1000)
-        timeouts.record(timeout_ms)
-        return timeouts.find_age_ms(timeout_ms) / 1000
+        timeouts.record(timeout_s)
+        return timeouts.find_age(timeout_s)
--- a/src/oriolearch/core/returns.py
+++ b/src/oriolearch/core/returns.py
@@ -20,6 +20,8 @@
 SHORTAGE_RETURN_S = 1.0
 # A queue whose upstreams are used more than this hardly gets shorter.
 MAX_UTILISATION = 0.95
+# Up to this, callers who come back in time for their objective may find room.
+SEVERE_UTILISATION = 1.5
 SPREAD_SHARE = 0.5  # of the time by which returns are spread
 
 
@@ -56,12 +58,19 @@
         self.arrivals.pop(owner, None)
 
     def find(
-        self, now: float, owner: Incarnation | None, late_s: float, rate: float
+        self,
+        now: float,
+        owner: Incarnation | None,
+        late_s: float,
+        rate: float,
+        slack_s: float,
     ) -> float:
         """Return after how many seconds a refused caller should come back.
 
         :param late_s: by how much the answer would miss its deadline.
         :param rate: requests per second that can be served.
+        :param slack_s: time in which the caller can come back and still get
+            an answer that meets its latency objective.
         """
         utilisation = self._arrival_rate(now, owner) / rate
         if utilisation < MAX_UTILISATION:
@@ -69,6 +78,10 @@
             expected_s = min(max(drained_s, MIN_RETURN_S), SHORTAGE_RETURN_S)
         else:
             expected_s = SHORTAGE_RETURN_S
+        is_severe = utilisation >= SEVERE_UTILISATION
+        latest_s = slack_s / (1 + SPREAD_SHARE)
+        if not is_severe and MIN_RETURN_S < latest_s < expected_s:
+            expected_s = latest_s
         return self.spread(max(expected_s, late_s))
 
     def spread(self, expected_s: float) -> float:
