--- a/src/oriolearch/balancing.py
+++ b/src/oriolearch/balancing.py
@@ -19,6 +19,7 @@
     plan_merge,
 )
 from oriolearch.core.directory import Incarnation, UpstreamEntry
+from oriolearch.core.failing import FailingUpstreams
 from oriolearch.core.owner_shares import PoolSpeeds, find_objective
 from oriolearch.core.ownership import KeyOwnership
 from oriolearch.eventlog import Event, EventLog
@@ -44,6 +45,7 @@
 
     :ivar rates: requests per second of the keys with recent requests.
     :ivar speeds: what is known of the speeds of the upstreams.
+    :ivar failing: upstreams that fail nearly all requests.
     :ivar inherited_at: when the owners that a predecessor chose were read, if
         there were any.
     """
@@ -54,6 +56,7 @@
         self.log = log
         self.rates: dict[int, float] = {}
         self.speeds = PoolSpeeds()
+        self.failing = FailingUpstreams()
         self.inherited_at = -math.inf
 
     def count_keys(self, counts: dict[int, int]) -> None:
@@ -67,12 +70,25 @@
     ) -> dict[Incarnation, UpstreamEntry]:
         """Return the upstreams that may own keys."""
         now = lease_clock()
+        usable = self.registry.usable_upstreams(self.pool)
+        excluded = self.failing.find_excluded(now, usable)
         return {
             ref: entry
-            for ref, entry in self.registry.usable_upstreams(self.pool).items()
-            if not ownership.is_lost(now, ref)
+            for ref, entry in usable.items()
+            if ref not in excluded and not ownership.is_lost(now, ref)
         }
 
+    def record_failing(self, ref: Incarnation) -> None:
+        """Record that an upstream fails nearly all of its requests."""
+        if self.failing.record(lease_clock(), ref):
+            self.log.emit(
+                Event.OWNER_FAILING,
+                pool=self.pool,
+                upstream=ref.text(),
+                failing=len(self.failing.excluded_until),
+                usable=len(self.registry.usable_upstreams(self.pool)),
+            )
+
     def plan_evacuation(self, ownership: KeyOwnership) -> list[Move]:
         """Plan to move the keys of upstreams that may not own any."""
         usable = self.usable_upstreams(ownership)
--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -36,7 +36,12 @@
 from oriolearch.forwarding import Forwarder
 from oriolearch.granting import GrantPort
 from oriolearch.leadership import Leadership
-from oriolearch.members import Member, choose_peers, is_isolated
+from oriolearch.members import (
+    HostIdentity,
+    Member,
+    choose_peers,
+    is_isolated,
+)
 from oriolearch.placing import (
     DispatchServer,
     add_notices,
@@ -54,6 +59,11 @@
     discard_rows,
     encode_rows,
 )
+from oriolearch.reporting import (
+    apply_report,
+    describe_upstreams,
+    refs_with_recent_requests,
+)
 from oriolearch.succession import ANSWER_TIMEOUT_S, Succession, ask
 from oriolearch.supervision import keep_running, log_task_failure
 
@@ -98,25 +108,6 @@
 OWNERS_PERIOD_S = 1.0  # minimum time between reads of the owners
 
 
-@dataclass(frozen=True, slots=True)
-class HostIdentity:
-    """One run of the router on a host.
-
-    :param address: address for connections of other hosts.
-    :param nonce: unique to this run.
-    :param capacity: share of a processor that the host has.
-    :param is_first_start: whether the whole installation starts for the first
-        time. No coordinator can exist then.
-    """
-
-    host: str
-    address: str
-    nonce: str
-    zone: str
-    capacity: float
-    is_first_start: bool = False
-
-
 class Coordination:
     """Finds the coordinator, reports to it, and replaces it when needed.
 
@@ -146,6 +137,7 @@
         self.store = store
         self.grants = grants
         self.forwarder = forwarder
+        self.dispatchers = forwarder.local_dispatch.dispatchers
         self.registry = forwarder.registry
         self.relay = relay
         self.zone = identity.zone
@@ -667,7 +659,7 @@
     async def _report(self, link: HostLink, channel: NoticeChannel) -> None:
         while True:
             await asyncio.sleep(REPORT_PERIOD_S)
-            refs = self.forwarder.refs_with_recent_requests()
+            refs = refs_with_recent_requests(self.dispatchers, loop_clock())
             link.send(add_notices(channel, self._make_report(), refs))
 
     def _make_report(self) -> Message:
@@ -677,8 +669,7 @@
                 pool: list(counts.items())
                 for pool, counts in self._pop_counts().items()
             },
-            'works': self.forwarder.service_times(),
-            'spreads': self.forwarder.service_time_spreads(),
+            **describe_upstreams(self.dispatchers, loop_clock()),
             'ready': self._has_read_tables(),
             'leaving': self.is_stopping,
         }
@@ -788,7 +779,7 @@
             leadership.members.set_ready(link)
         if report.get('leaving'):
             leadership.members.set_leaving(link)
-        self._apply_report(leadership, report)
+        apply_report(leadership, report)
 
     def _reachable_term(self) -> int:
         if self.leadership is not None and not self.leadership.is_stuck():
@@ -812,14 +803,6 @@
             return self.leadership.has_authority()
         return lease_clock() - self.granting_contact_at < CONTACT_TIMEOUT_S
 
-    def _apply_report(self, leadership: Leadership, report: Message) -> None:
-        for pool, counts in report['keys'].items():
-            leadership.count_keys(pool, {int(key): n for key, n in counts})
-        for pool, service_times in report['works'].items():
-            leadership.balancer_of(pool).speeds.record(service_times)
-        for pool, spread in report.get('spreads', {}).items():
-            leadership.balancer_of(pool).speeds.record_spread(float(spread))
-
     async def try_takeover(self, reason: str) -> None:
         """Try to become the coordinator."""
         seen_version = self.row_version
@@ -996,7 +979,7 @@
     async def _report_locally(self, leadership: Leadership) -> None:
         while not leadership.is_over:
             await asyncio.sleep(REPORT_PERIOD_S)
-            self._apply_report(leadership, self._make_report())
+            apply_report(leadership, self._make_report())
 
     def end_term(self, reason: str) -> None:
         """End this host's term if it is the coordinator."""
--- a/src/oriolearch/core/upstream_state.py
+++ b/src/oriolearch/core/upstream_state.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from oriolearch.core.directory import Incarnation, UpstreamEntry
+from oriolearch.core.failing import FailureShare
 from oriolearch.core.pacing import TokenBucket
 from oriolearch.core.service_times import Slowdown
 
@@ -107,6 +108,7 @@
     running: dict[QueuedRequest, None] = field(default_factory=dict)
     service_time_s: float = INITIAL_SERVICE_TIME_S
     answer_count: int = 0
+    failure_share: FailureShare = field(default_factory=FailureShare)
     slowdown: Slowdown = field(default_factory=Slowdown)
     reported_load: int = 0
     reported_at: float = float('-inf')
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -370,6 +370,13 @@
         'The coordinator divided the load of a pool among its upstreams; '
         'shares are multiples of the mean. Written every two seconds.',
     )
+    OWNER_FAILING = EventKind(
+        448,
+        logging.WARNING,
+        ('pool', 'upstream', 'failing', 'usable'),
+        'A host reports that an upstream fails nearly all of its requests; it '
+        'loses its keys for some seconds unless many upstreams fail.',
+    )
     MEMORY_EXCEEDED = EventKind(
         447,
         logging.WARNING,
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -1,11 +1,9 @@
 """Forwards requests of callers to upstreams."""
 
 import asyncio
-import math
 import random
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import asdict
-from typing import Protocol
 
 from oriolearch.adapters.caller_links import IncomingRequest, Reply
 from oriolearch.adapters.metrics import Latencies
@@ -43,6 +41,7 @@
     ReservationFuture,
     ReservationRouter,
 )
+from oriolearch.codecs import RequestCodec
 from oriolearch.ports import AnswerFacts, RequestHead
 from oriolearch.registry import Changes, Registry
 
@@ -78,27 +77,6 @@
 RETRY_AFTER_STOPPING_S = 0.1
 
 
-class RequestCodec(Protocol):
-    """Encodes requests and decodes answers of a platform's protocol."""
-
-    def read_head(self, request: IncomingRequest) -> RequestHead:
-        """Decode the fields that determine how a request is handled."""
-
-    def encode(
-        self,
-        request: IncomingRequest,
-        entry: UpstreamEntry,
-        left_s: float,
-    ) -> bytes:
-        """Encode a request for an upstream."""
-
-    def is_answer_to(self, answer: HttpResponse, request_id: bytes) -> bool:
-        """Return whether an answer belongs to a request."""
-
-    def decode_facts(self, answer: HttpResponse) -> AnswerFacts:
-        """Decode what an answer reports on the request and the upstream."""
-
-
 class _RefusedError(Exception):
     """The request is answered by the router and not by an upstream.
 
@@ -259,33 +237,6 @@
         """Return the owners of the keys of a pool."""
         return self.owners.setdefault(pool, OwnerMap())
 
-    def service_times(self) -> dict[str, dict[str, float]]:
-        """Return the mean service times of keyed upstreams, by pool.
-
-        Those that this host does not dispatch, or no longer, are left out.
-        """
-        now = loop_clock()
-        return {
-            pool: dispatcher.recent_service_times(now)
-            for pool, dispatcher in self.local_dispatch.dispatchers.items()
-            if dispatcher.plan.is_keyed
-        }
-
-    def service_time_spreads(self) -> dict[str, float]:
-        """Return how much service times vary, by pool with recent requests."""
-        now = loop_clock()
-        return {
-            pool: round(math.sqrt(dispatcher.spread.variance), 4)
-            for pool, dispatcher in self.local_dispatch.dispatchers.items()
-            if dispatcher.plan.is_keyed and dispatcher.recent_service_times(now)
-        }
-
-    def refs_with_recent_requests(self) -> Iterator[Incarnation]:
-        """Yield the upstreams to which this host dispatched recently."""
-        now = loop_clock()
-        for dispatcher in self.local_dispatch.dispatchers.values():
-            yield from dispatcher.refs_with_recent_requests(now)
-
     def recheck_queued_requests(self, pool: str) -> None:
         """Recheck queued requests after a change of owners.
 
--- a/src/oriolearch/members.py
+++ b/src/oriolearch/members.py
@@ -16,6 +16,25 @@
 SPARE_WATCHERS = 4
 
 
+@dataclass(frozen=True, slots=True)
+class HostIdentity:
+    """One run of the router on a host.
+
+    :param address: address for connections of other hosts.
+    :param nonce: unique to this run.
+    :param capacity: share of a processor that the host has.
+    :param is_first_start: whether the whole installation starts for the first
+        time. No coordinator can exist then.
+    """
+
+    host: str
+    address: str
+    nonce: str
+    zone: str
+    capacity: float
+    is_first_start: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """A host that is connected to the coordinator.
--- a/src/oriolearch/platform/daemon.py
+++ b/src/oriolearch/platform/daemon.py
@@ -15,7 +15,7 @@
 )
 from oriolearch.adapters.metrics import render_events, render_store_calls
 from oriolearch.addresses import split_address
-from oriolearch.coordination import Coordination, HostIdentity
+from oriolearch.coordination import Coordination
 from oriolearch.core.errors import ValidationError
 from oriolearch.core.memory_budget import Holding
 from oriolearch.core.versions import VersionLedger
@@ -23,6 +23,7 @@
 from oriolearch.eventloop import new_event_loop
 from oriolearch.forwarding import Forwarder
 from oriolearch.gauges import render_host_gauges
+from oriolearch.members import HostIdentity
 from oriolearch.platform.settings import (
     HostSettings,
     changes_for_restart,
