--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -634,13 +634,18 @@
     def _apply_hosts(self, message: Message) -> None:
         hosts = message.get('hosts')
         if isinstance(hosts, list):
-            self.update_hosts({str(host): float(size) for host, size in hosts})
+            self.update_hosts(
+                {str(host): float(size) for host, size in hosts},
+                dict(message.get('zones', {})),
+            )
 
-    def update_hosts(self, hosts: dict[str, float]) -> None:
-        """Update the hosts that dispatch requests, with their capacity."""
+    def update_hosts(
+        self, hosts: dict[str, float], zones: dict[str, str]
+    ) -> None:
+        """Update the hosts that dispatch, with their capacity and zone."""
         self.host_count = len(hosts)
         self.peers = choose_peers(hosts, self.address, self.rng)
-        self.forwarder.reservation_router.set_dispatching_hosts(hosts)
+        self.forwarder.reservation_router.set_dispatching_hosts(hosts, zones)
 
     def update_owners(
         self,
--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -13,6 +13,7 @@
 that meet the objective.
 """
 
+import math
 import random
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
@@ -30,6 +31,7 @@
     Shortage,
     UpstreamState,
 )
+from oriolearch.core.zone_costs import Journey, reserved_slots
 
 SHED_PAUSE_S = 0.05  # an upstream that shed gets no new request for this long
 # After failures an upstream is avoided, or gets nothing, for this long. Doubles
@@ -37,9 +39,6 @@
 FAILURE_PAUSE_S = 0.3
 MAX_FAILURE_PAUSE_S = 2.0
 FAILURES_BEFORE_PAUSE = 2  # the request may be the cause of a single failure
-# An upstream in the request's zone is preferred up to this much longer wait.
-CROSS_ZONE_COST_S = 0.01
-UPLOAD_CROSS_ZONE_COST_S = 0.2  # traffic between zones is expensive
 # Keys of a silent upstream usually move to another one within a few seconds.
 UNAVAILABLE_RETRY_AFTER_S = 1.0
 # Of the mean answer time. In an overload most requests wait until they can just
@@ -215,7 +214,7 @@
         """
         assigned = []
         while self.waiting and upstream.free_capacity(now) > 0:
-            request = self._first_for(now, upstream.entry.ref)
+            request = self._first_for(now, upstream)
             chosen = self._choose(now, request) if request else None
             if request is None or chosen is None:
                 break
@@ -224,8 +223,12 @@
             assigned.append(request)
         return assigned
 
-    def _first_for(self, now: float, ref: Incarnation) -> QueuedRequest | None:
+    def _first_for(
+        self, now: float, upstream: UpstreamState
+    ) -> QueuedRequest | None:
         """Return the queued request that is to get an upstream first."""
+        ref = upstream.entry.ref
+        free = upstream.free_capacity(now)
         return min(
             (
                 request
@@ -235,6 +238,7 @@
                     request.owner is None
                     and ref not in request.tried
                     and ref not in request.avoided
+                    and free > _reserved_for_others(request, upstream)
                 )
             ),
             key=lambda request: self._rank(now, request),
@@ -419,13 +423,11 @@
                 if upstream and self._has_capacity(now, request, upstream)
                 else None
             )
-        cost_s = (
-            UPLOAD_CROSS_ZONE_COST_S if request.is_upload else CROSS_ZONE_COST_S
-        )
+        journey = self._describe_journey(now, request)
         scores = {
             upstream.entry.ref: (
                 now < upstream.avoided_until,
-                self._score(now, upstream, request.zone, cost_s),
+                self._score(now, upstream, journey),
             )
             for upstream in self.upstreams.values()
             if upstream.entry.ref not in request.tried
@@ -450,22 +452,29 @@
         request.tried = frozenset()
         return self._choose(now, request)
 
+    def _describe_journey(self, now: float, request: QueuedRequest) -> Journey:
+        left_s = request.objective_at - now
+        return Journey(
+            request.zone,
+            left_s,
+            max(left_s, self.service_time_s),
+            math.sqrt(self.spread.variance),
+            request.is_upload,
+        )
+
     def _score(
-        self,
-        now: float,
-        upstream: UpstreamState,
-        zone: str,
-        zone_cost_s: float,
+        self, now: float, upstream: UpstreamState, journey: Journey
     ) -> float:
         wait_s = upstream.expected_wait_s(now) * (
             1 + WAIT_JITTER_SHARE * self.rng.random()
         )
-        return wait_s if upstream.entry.zone == zone else wait_s + zone_cost_s
+        return journey.cost(upstream.entry.zone, wait_s)
 
     def _has_capacity(
         self, now: float, request: QueuedRequest, upstream: UpstreamState
     ) -> bool:
-        if upstream.free_capacity(now) <= 0:
+        reserved = _reserved_for_others(request, upstream)
+        if upstream.free_capacity(now) <= reserved:
             return False
         if now < upstream.cold_until:
             self._refill_cold(now, upstream)
@@ -582,6 +591,16 @@
         return [upstream] if upstream else []
 
 
+def _reserved_for_others(
+    request: QueuedRequest, upstream: UpstreamState
+) -> int:
+    """Return the places at an upstream that a request may not take."""
+    if request.owner is not None:
+        return 0
+    entry = upstream.entry
+    return reserved_slots(request.zone, entry.zone, entry.slots)
+
+
 def _whole_limit(ref: Incarnation) -> float:
     return 1.0
 
--- /dev/null
+++ b/src/oriolearch/core/zone_costs.py
@@ -0,0 +1,75 @@
+"""Decides when a request leaves its availability zone.
+
+Traffic between zones is slower and costs money, yet the upstreams of a zone are
+sometimes too few. A request leaves its zone when that makes its answer in time
+more probable, by more than a price that grows with the bytes it moves. Because
+the price is due in each direction, two zones never send each other the requests
+that they could serve themselves.
+"""
+
+import math
+from dataclasses import dataclass
+
+from oriolearch.core.upstream_state import QUEUED_AT_UPSTREAM
+
+# Probability of an answer in time that has to be gained by leaving the zone.
+LEAVE_PRICE = 0.03
+UPLOAD_LEAVE_PRICE = 0.3  # uploads move about a hundred times the bytes
+# Part of the objective that an answer has to come earlier to be worth as much
+# as a gain of one in time: among answers in time, the faster one is better.
+TIME_WEIGHT = 0.1
+# Slots that requests of other zones leave free, so that the overflow of one
+# zone does not fill another.
+SLOTS_FOR_OWN_ZONE = 1
+
+_SQRT_2 = math.sqrt(2)
+
+
+@dataclass(frozen=True, slots=True)
+class Journey:
+    """What a request still has before it, wherever it is served.
+
+    :param zone: zone of the host that forwards it.
+    :param left_s: seconds until its latency objective.
+    :param objective_s: scale of the time that counts, in seconds.
+    :param spread: standard deviation of the logarithm of service times.
+    """
+
+    zone: str
+    left_s: float
+    objective_s: float
+    spread: float
+    is_upload: bool
+
+    def price(self, zone: str) -> float:
+        """Return what an upstream's zone costs, as a probability."""
+        if zone == self.zone:
+            return 0.0
+        return UPLOAD_LEAVE_PRICE if self.is_upload else LEAVE_PRICE
+
+    def cost(self, zone: str, answer_s: float) -> float:
+        """Return the cost of an upstream; the lowest is chosen.
+
+        :param answer_s: expected time until its answer, in seconds.
+        """
+        late = self._late_probability(answer_s)
+        return (
+            late + TIME_WEIGHT * answer_s / self.objective_s + self.price(zone)
+        )
+
+    def _late_probability(self, answer_s: float) -> float:
+        if self.left_s <= 0:
+            return 1.0
+        log_left = math.log(self.left_s / answer_s) + self.spread**2 / 2
+        return math.erfc(log_left / self.spread / _SQRT_2) / 2
+
+
+def reserved_slots(zone: str, upstream_zone: str, slots: int) -> int:
+    """Return the places at an upstream that a request may not take.
+
+    Besides a slot, that is the place in its queue. An upstream with one slot
+    serves other zones as well.
+    """
+    if zone == upstream_zone or slots == 1:
+        return 0
+    return SLOTS_FOR_OWN_ZONE + QUEUED_AT_UPSTREAM
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -95,8 +95,10 @@
     ) -> None:
         """Update owners of keys."""
 
-    def update_hosts(self, hosts: dict[str, float]) -> None:
-        """Update the hosts that dispatch requests, with their capacity."""
+    def update_hosts(
+        self, hosts: dict[str, float], zones: dict[str, str]
+    ) -> None:
+        """Update the hosts that dispatch, with their capacity and zone."""
 
     def end_term(self, reason: str) -> None:
         """End the term."""
--- a/src/oriolearch/members.py
+++ b/src/oriolearch/members.py
@@ -86,7 +86,7 @@
         self,
         own_member: Member,
         heartbeat: Callable[[], Message],
-        on_hosts_changed: Callable[[dict[str, float]], None],
+        on_hosts_changed: Callable[[dict[str, float], dict[str, str]], None],
     ) -> None:
         self.own_member = own_member
         self.heartbeat = heartbeat
@@ -221,7 +221,19 @@
         return hosts
 
     def _hosts_message(self, hosts: dict[str, float]) -> Message:
-        return {**self.heartbeat(), 'hosts': list(hosts.items())}
+        return {
+            **self.heartbeat(),
+            'hosts': list(hosts.items()),
+            'zones': self._zones(hosts),
+        }
+
+    def _zones(self, hosts: Mapping[str, float]) -> dict[str, str]:
+        members = (self.own_member, *self.links.values())
+        return {
+            member.address: member.zone
+            for member in members
+            if member.address in hosts
+        }
 
     def send_hosts(self) -> None:
         """Send the hosts that dispatch requests, if they changed."""
@@ -229,5 +241,5 @@
         if hosts == self.sent_hosts:
             return
         self.sent_hosts = hosts
-        self.on_hosts_changed(hosts)
+        self.on_hosts_changed(hosts, self._zones(hosts))
         self.send_to_all(self._hosts_message(hosts))
--- a/src/oriolearch/placing.py
+++ b/src/oriolearch/placing.py
@@ -526,7 +526,10 @@
     :ivar is_list_confirmed: returns whether the list of these hosts is
         certainly that of all others.
     :ivar renew: returns the future that replaces one that has failed.
-    :ivar owner_hosts: dispatching hosts of keyed upstreams.
+    :ivar zones: zone of each of these hosts that is known.
+    :ivar zone_hosts: by zone, the dispatching hosts of its keyed upstreams.
+        While zones cannot reach each other, each dispatches its own.
+    :ivar owner_hosts: dispatching hosts of the other keyed upstreams.
     :ivar pool_hosts: dispatching hosts of whole pools, which are hosts of the
         highest capacity. A pool is a far higher load than one upstream.
     """
@@ -535,6 +538,8 @@
         self.address = address
         self.local_dispatch = local_dispatch
         self.hosts: dict[str, float] = {}
+        self.zones: dict[str, str] = {}
+        self.zone_hosts: dict[str, _Rendezvous] = {}
         self.owner_hosts = _Rendezvous()
         self.pool_hosts = _Rendezvous()
         self.clients: dict[str, DispatchClient] = {}
@@ -542,11 +547,23 @@
         self.renew: Callable[[ReservationFuture], ReservationFuture] = _renew
         self.set_dispatching_hosts({address: 1.0})
 
-    def set_dispatching_hosts(self, hosts: Mapping[str, float]) -> None:
-        """Set the hosts that dispatch, with the capacity of each."""
-        if hosts == self.hosts or not hosts:
+    def set_dispatching_hosts(
+        self,
+        hosts: Mapping[str, float],
+        zones: Mapping[str, str] | None = None,
+    ) -> None:
+        """Set the hosts that dispatch.
+
+        :param hosts: capacity of each host.
+        :param zones: zone of each host, as far as it is known.
+        """
+        known_zones = dict(zones or {})
+        is_known = hosts == self.hosts and known_zones == self.zones
+        if is_known or not hosts:
             return
         self.hosts = dict(hosts)
+        self.zones = known_zones
+        self._set_zone_hosts()
         highest = max(hosts.values())
         self.owner_hosts.set_hosts(hosts)
         self.pool_hosts.set_hosts(
@@ -564,7 +581,24 @@
         """Return the dispatching host of an upstream, or of a whole pool."""
         if owner is None:
             return self.pool_hosts.find(pool)
-        return self.owner_hosts.find(owner.text())
+        zone_hosts = self.zone_hosts.get(self._zone_of(pool, owner))
+        return (zone_hosts or self.owner_hosts).find(owner.text())
+
+    def _set_zone_hosts(self) -> None:
+        by_zone: dict[str, list[str]] = {}
+        for host in self.hosts:
+            by_zone.setdefault(self.zones.get(host, ''), []).append(host)
+        by_zone.pop('', None)
+        self.zone_hosts = {
+            zone: self.zone_hosts.get(zone, _Rendezvous()) for zone in by_zone
+        }
+        for zone, hosts in by_zone.items():
+            self.zone_hosts[zone].set_hosts(hosts)
+
+    def _zone_of(self, pool: str, owner: Incarnation) -> str:
+        dispatcher = self.local_dispatch.dispatchers.get(pool)
+        upstream = dispatcher.upstreams.get(owner) if dispatcher else None
+        return upstream.entry.zone if upstream else ''
 
     def rate_share(self, pool: str, owner: Incarnation | None) -> float:
         """Return the part of an upstream's rate limit that this host may use.
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -38,7 +38,7 @@
     return {'kind': 'beat', 'term': 1}
 
 
-def ignore_hosts(hosts: dict[str, float]) -> None:
+def ignore_hosts(hosts: dict[str, float], zones: dict[str, str]) -> None:
     """Stand in for the coordinator's own host."""
 
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -15,7 +15,8 @@
     encode_line,
 )
 from oriolearch.clock import loop_clock
-from oriolearch.core.directory import Incarnation
+from oriolearch.core.directory import Incarnation, PoolPlan, UpstreamEntry
+from oriolearch.core.dispatching import Dispatcher
 from oriolearch.core.errors import PeerError
 from oriolearch.core.notices import Facts, Notice
 from oriolearch.core.upstream_state import QueuedRequest, Shortage
@@ -337,3 +338,35 @@
 
     asyncio.run(run())
     assert withdrawn == ['orders']
+
+
+def test_keyed_upstream_is_dispatched_in_its_zone() -> None:
+    """Guard against owners that no host dispatches while zones are cut off.
+
+    A third of the dispatching hosts of each zone were in the zone that was cut
+    off, and its own upstreams had theirs outside.
+    """
+    zones = {f'h{number}': f'z{number % 3}' for number in range(30)}
+    router = ReservationRouter('h0', LocalDispatch())
+    plan = PoolPlan('orders', True, 100, 3.0, 4.0, 2.0, '/health')
+    dispatcher = Dispatcher(plan, random.Random(1))
+    router.local_dispatch.dispatchers['orders'] = dispatcher
+    entries = [
+        UpstreamEntry(ref, 'orders', 'x:1', f'z{n % 3}', 2, False, 0.0)
+        for n, ref in enumerate(OWNERS[:-1])
+    ]
+    dispatcher.set_upstreams(0.0, entries, OWNERS, {})
+    router.set_dispatching_hosts(dict.fromkeys(zones, 1.0), zones)
+    found = {
+        entry.ref: router.find_dispatching_host('orders', entry.ref)
+        for entry in entries
+    }
+    assert all(zones[found[entry.ref]] == entry.zone for entry in entries)
+    assert len(set(found.values())) > len(zones) / 2
+    assert router.find_dispatching_host('orders', OWNERS[-1]) in zones
+    rest = {host: zone for host, zone in zones.items() if zone != 'z0'}
+    router.set_dispatching_hosts(dict.fromkeys(rest, 1.0), rest)
+    for entry in entries:
+        host = router.find_dispatching_host('orders', entry.ref)
+        assert host in rest
+        assert entry.zone == 'z0' or host == found[entry.ref]
