--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -44,6 +44,9 @@
 # Of the mean answer time. In an overload most requests wait until they can just
 # meet their objective, and with the mean alone half of them would miss it.
 ANSWER_MARGIN = 1.1
+# Part of an upstream's limits that its dispatching host has at least; hosts
+# that replace it have far less.
+MIN_DISPATCHING_SHARE = 0.4
 WAIT_JITTER_SHARE = 0.05  # waits that differ by less are ordered at random
 
 
@@ -476,12 +479,23 @@
         reserved = _reserved_for_others(request, upstream)
         if upstream.free_capacity(now) <= reserved:
             return False
+        if upstream.running and self._is_substitute(upstream):
+            return False
         if now < upstream.cold_until:
             self._refill_cold(now, upstream)
             if not request.may_use_cold or upstream.cold_tokens.is_empty:
                 return False
         return not self.rate_limits or not self._wait_for_limit_s(now, upstream)
 
+    def _is_substitute(self, upstream: UpstreamState) -> bool:
+        """Return whether this host replaces one that it cannot reach.
+
+        Many hosts may replace it at once, each with a load report that is
+        older than the others' requests. With one request of each, they don't
+        fill an upstream that resets connections when it is full.
+        """
+        return self.rate_share(upstream.entry.ref) < MIN_DISPATCHING_SHARE
+
     def _is_queued_ahead(
         self, now: float, request: QueuedRequest, upstream: UpstreamState
     ) -> bool:
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -863,3 +863,29 @@
     dispatcher.assign_queued(0.1)
     assert from_paused.assigned_to is dispatcher.upstreams[B]
     assert from_other.assigned_to is not None
+
+
+def count_in_flight(share: float) -> int:
+    """Return how many of five requests a host sends at once."""
+    dispatcher = make_dispatcher(entry(A))
+    dispatcher.rate_share = lambda ref: share
+    requests = [make_request() for _ in range(5)]
+    for request in requests:
+        dispatcher.submit(0.0, request)
+    return sum(request.assigned_to is not None for request in requests)
+
+
+def test_hosts_that_replace_a_dispatching_host_do_not_fill_an_upstream() -> (
+    None
+):
+    """Fails if orders are lost at an upstream that resets when it is full.
+
+    Load pattern: 28 of 79 hosts are cut off from the others, and each sends a
+    few requests a second for one hot key. An upstream with 2 slots and a queue
+    of 12 got four of each host.
+    """
+    in_flight = {
+        share: sum(count_in_flight(share) for _ in range(28))
+        for share in (SUBSTITUTES_RATE_SHARE / 79, UNCONFIRMED_RATE_SHARE)
+    }
+    assert list(in_flight.values()) == [28, 28 * CAPACITY]
