--- a/src/oriolearch/cli.py
+++ b/src/oriolearch/cli.py
@@ -18,11 +18,13 @@
 from oriolearch import demo
 from oriolearch.adapters.admin_client import AdminClient, Credentials
 from oriolearch.core import configuration
+from oriolearch.core.config_review import FindingKind, review
 from oriolearch.core.errors import ConflictError, OriolearchError
 from oriolearch.core.model import Fencing
 from oriolearch.eventlog import configure_logging
 from oriolearch.explaining import LogLine, explain, read_lines
 from oriolearch.host import Host
+from oriolearch.platform.documents import decode_directory
 from oriolearch.platform.settings import load_settings
 from oriolearch.schema import EditModel, parse, read_document
 from oriolearch.settings import Settings, read_json, read_settings
@@ -96,6 +98,19 @@
             long='--platform', help='check settings that the platform wrote'
         ),
     ] = False
+    document: Annotated[
+        bool,
+        cappa.Arg(
+            long='--document',
+            help="check the operator's document of the platform",
+        ),
+    ] = False
+    in_force: Annotated[
+        Path | None,
+        cappa.Arg(
+            long='--in-force', help='the document to compare with, if any'
+        ),
+    ] = None
 
     def __call__(self) -> None:
         """Run the command."""
@@ -109,6 +124,9 @@
         if self.platform:
             load_settings(str(self.path))
             return
+        if self.document:
+            self._review_document()
+            return
         if not self.tables:
             read_settings(self.path)
             return
@@ -116,6 +134,17 @@
         for problem in configuration.problems(document):
             raise problem
 
+    def _review_document(self) -> None:
+        in_force = None
+        if self.in_force is not None:
+            in_force = decode_directory(self.in_force.read_bytes())
+        directory = decode_directory(self.path.read_bytes())
+        findings = list(review(directory, in_force))
+        for finding in findings:
+            print(finding)
+        if any(finding.kind is FindingKind.ERROR for finding in findings):
+            raise cappa.Exit(f'{self.path}: has errors', code=USAGE_STATUS)
+
 
 @cappa.command(
     name='show', help='Show routes, pools and what is out of service'
