--- a/src/oriolearch/balancing.py
+++ b/src/oriolearch/balancing.py
@@ -28,9 +28,12 @@
 BALANCE_PERIOD_S = 0.4  # the effect of a move is in the reports by then
 RATE_HALF_LIFE_S = 1.5  # of the request count of a key
 DIVISIONS_PER_EVENT = 5
+MIN_COUNTED_S = 0.4  # a report covers 0.2 s
 MIN_KEY_RATE = 0.02  # requests a second; lower rates are dropped
-# A new coordinator balances inherited keys once this part of the upstreams
-# has been reported, and after this time anyway.
+# A new coordinator balances inherited keys once it has counted requests for a
+# while and this part of the upstreams has been reported, and after the longer
+# time anyway.
+MIN_LEARNING_S = 1.5
 MIN_REPORTED_SHARE = 0.5
 MAX_LEARNING_S = 3.0
 
@@ -46,6 +49,7 @@
     :ivar rates: requests per second of the keys with recent requests.
     :ivar speeds: what is known of the speeds of the upstreams.
     :ivar failing: upstreams that fail nearly all requests.
+    :ivar counted_since: when the first requests were counted.
     :ivar inherited_at: when the owners that a predecessor chose were read, if
         there were any.
     """
@@ -57,14 +61,28 @@
         self.rates: dict[int, float] = {}
         self.speeds = PoolSpeeds()
         self.failing = FailingUpstreams()
+        self.counted_since: float | None = None
         self.inherited_at = -math.inf
 
     def count_keys(self, counts: dict[int, int]) -> None:
         """Add the request counts of keys since a host's last report."""
+        if counts and self.counted_since is None:
+            self.counted_since = lease_clock()
         for key, count in counts.items():
             added = count * _RATE_PER_COUNT
             self.rates[key] = self.rates.get(key, 0.0) + added
 
+    def total_rate(self) -> float:
+        """Return the requests per second for all keys.
+
+        The decayed counts of keys lack the requests before the first count.
+        """
+        if self.counted_since is None:
+            return 0.0
+        counted_s = max(lease_clock() - self.counted_since, MIN_COUNTED_S)
+        counted_share = 1 - math.pow(0.5, counted_s / RATE_HALF_LIFE_S)
+        return sum(self.rates.values()) / counted_share
+
     def usable_upstreams(
         self, ownership: KeyOwnership
     ) -> dict[Incarnation, UpstreamEntry]:
@@ -128,7 +146,10 @@
 
     def _is_learning(self, candidates: list[OwnerCandidate]) -> bool:
         """Return whether too little is known to improve inherited owners."""
-        if lease_clock() >= self.inherited_at + MAX_LEARNING_S:
+        learned_s = lease_clock() - self.inherited_at
+        if learned_s < MIN_LEARNING_S:
+            return True
+        if learned_s >= MAX_LEARNING_S:
             return False
         reported = len(self.speeds.service_times)
         return reported < MIN_REPORTED_SHARE * len(candidates)
@@ -143,7 +164,7 @@
         )
         objective_s = find_objective(self.registry.directory, self.pool)
         shares = self.speeds.update_shares(
-            sum(self.rates.values()), capabilities, objective_s
+            self.total_rate(), capabilities, objective_s
         )
         if shares and self.speeds.division_count % DIVISIONS_PER_EVENT == 0:
             self.log.emit(
--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -31,7 +31,7 @@
     Shortage,
     UpstreamState,
 )
-from oriolearch.core.zone_costs import Journey, reserved_slots
+from oriolearch.core.zone_costs import Journey
 
 SHED_PAUSE_S = 0.05  # an upstream that shed gets no new request for this long
 # After failures an upstream is avoided, or gets nothing, for this long. Doubles
@@ -229,9 +229,12 @@
     def _first_for(
         self, now: float, upstream: UpstreamState
     ) -> QueuedRequest | None:
-        """Return the queued request that is to get an upstream first."""
+        """Return the queued request that is to get an upstream first.
+
+        Those of its own zone go before others that are as urgent, so that the
+        overflow of one zone does not push out the requests of another.
+        """
         ref = upstream.entry.ref
-        free = upstream.free_capacity(now)
         return min(
             (
                 request
@@ -241,13 +244,21 @@
                     request.owner is None
                     and ref not in request.tried
                     and ref not in request.avoided
-                    and free > _reserved_for_others(request, upstream)
                 )
             ),
-            key=lambda request: self._rank(now, request),
+            key=lambda request: self._rank_in_zone(
+                now, request, upstream.entry.zone
+            ),
             default=None,
         )
 
+    def _rank_in_zone(
+        self, now: float, request: QueuedRequest, zone: str
+    ) -> tuple[bool, bool, int, float]:
+        is_late, kind_rank, urgent_at = self._rank(now, request)
+        is_foreign = request.owner is None and request.zone != zone
+        return is_late, is_foreign, kind_rank, urgent_at
+
     def _ranked_queue(self, now: float) -> list[QueuedRequest]:
         return sorted(
             self.waiting, key=lambda request: self._rank(now, request)
@@ -476,8 +487,7 @@
     def _has_capacity(
         self, now: float, request: QueuedRequest, upstream: UpstreamState
     ) -> bool:
-        reserved = _reserved_for_others(request, upstream)
-        if upstream.free_capacity(now) <= reserved:
+        if upstream.free_capacity(now) <= 0:
             return False
         if upstream.running and self._is_substitute(upstream):
             return False
@@ -605,16 +615,6 @@
         return [upstream] if upstream else []
 
 
-def _reserved_for_others(
-    request: QueuedRequest, upstream: UpstreamState
-) -> int:
-    """Return the places at an upstream that a request may not take."""
-    if request.owner is not None:
-        return 0
-    entry = upstream.entry
-    return reserved_slots(request.zone, entry.zone, entry.slots)
-
-
 def _whole_limit(ref: Incarnation) -> float:
     return 1.0
 
--- a/src/oriolearch/core/zone_costs.py
+++ b/src/oriolearch/core/zone_costs.py
@@ -10,18 +10,12 @@
 import math
 from dataclasses import dataclass
 
-from oriolearch.core.upstream_state import QUEUED_AT_UPSTREAM
-
 # Probability of an answer in time that has to be gained by leaving the zone.
 LEAVE_PRICE = 0.03
 UPLOAD_LEAVE_PRICE = 0.3  # uploads move about a hundred times the bytes
 # Part of the objective that an answer has to come earlier to be worth as much
 # as a gain of one in time: among answers in time, the faster one is better.
 TIME_WEIGHT = 0.1
-# Slots that requests of other zones leave free, so that the overflow of one
-# zone does not fill another.
-SLOTS_FOR_OWN_ZONE = 1
-
 _SQRT_2 = math.sqrt(2)
 
 
@@ -62,14 +56,3 @@
             return 1.0
         log_left = math.log(self.left_s / answer_s) + self.spread**2 / 2
         return math.erfc(log_left / self.spread / _SQRT_2) / 2
-
-
-def reserved_slots(zone: str, upstream_zone: str, slots: int) -> int:
-    """Return the places at an upstream that a request may not take.
-
-    Besides a slot, that is the place in its queue. An upstream with one slot
-    serves other zones as well.
-    """
-    if zone == upstream_zone or slots == 1:
-        return 0
-    return SLOTS_FOR_OWN_ZONE + QUEUED_AT_UPSTREAM
--- a/tests/test_owner_shares.py
+++ b/tests/test_owner_shares.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from oriolearch import balancing
 from oriolearch.core.balance import (
     KeyRates,
     OwnerCandidate,
@@ -33,6 +34,8 @@
     Slowdown,
     Spread,
 )
+from oriolearch.eventlog import EventLog
+from oriolearch.registry import Registry
 from tests.pool_load import PoolLoad
 
 FAST_S, SLOW_S = 0.2, 0.45
@@ -235,3 +238,57 @@
     assert math.sqrt(spread.variance) == pytest.approx(0.3, abs=0.06)
     spread.record(0.0, 1.0)
     spread.record(1.0, 0.0)
+
+
+class FakeClock:
+    """Replaces the clock of leases."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@pytest.mark.parametrize('seconds', [0.4, 1.0, 3.0, 10.0])
+def test_rate_of_a_pool_is_known_soon(
+    seconds: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Fails if a new coordinator divides the load as if it were small.
+
+    The keys moved to the fastest upstreams, and back as the estimated rate
+    rose, after each takeover.
+    """
+    clock = FakeClock()
+    monkeypatch.setattr(balancing, 'lease_clock', clock)
+    balancer = balancing.KeyBalancer('pool', Registry(), EventLog())
+    assert balancer.total_rate() == 0
+    for tick in range(round(seconds / 0.2)):
+        clock.now += 0.2
+        balancer.count_keys({key: 1 for key in range(20)})
+        if tick % 2:
+            balancer._decay_rates()
+    assert balancer.total_rate() == pytest.approx(100, rel=0.5)
+
+
+@pytest.mark.parametrize(
+    ('learned_s', 'reported', 'is_learning'),
+    [(0.5, 10, True), (2.0, 10, False), (2.0, 2, True), (4.0, 0, False)],
+)
+def test_new_coordinator_keeps_inherited_owners_at_first(
+    learned_s: float,
+    reported: int,
+    is_learning: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Fails if keys move by what a coordinator does not know yet."""
+    clock = FakeClock()
+    monkeypatch.setattr(balancing, 'lease_clock', clock)
+    balancer = balancing.KeyBalancer('pool', Registry(), EventLog())
+    refs = [Incarnation(f'u{number}') for number in range(10)]
+    candidates = [OwnerCandidate(ref, 1.0) for ref in refs]
+    assert not balancer._is_learning(candidates)
+    balancer.inherited_at = clock.now
+    balancer.speeds.record({ref.text(): 0.2 for ref in refs[:reported]})
+    clock.now += learned_s
+    assert balancer._is_learning(candidates) is is_learning
