--- a/src/oriolearch/balancing.py
+++ b/src/oriolearch/balancing.py
@@ -48,7 +48,7 @@
 
     :ivar rates: requests per second of the keys with recent requests.
     :ivar speeds: what is known of the speeds of the upstreams.
-    :ivar failing: upstreams that fail nearly all requests.
+    :ivar failing: upstreams that fail all of their requests.
     :ivar counted_since: when the first requests were counted.
     :ivar inherited_at: when the owners that a predecessor chose were read, if
         there were any.
@@ -97,7 +97,7 @@
         }
 
     def record_failing(self, ref: Incarnation) -> None:
-        """Record that an upstream fails nearly all of its requests."""
+        """Record that an upstream fails all of its requests."""
         if self.failing.record(lease_clock(), ref):
             self.log.emit(
                 Event.OWNER_FAILING,
--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -269,7 +269,6 @@
     ) -> None:
         """Record an answer to a request that the upstream has run."""
         upstream.failures = 0
-        upstream.failure_share.record(has_failed=False)
         upstream.last_contact_at = now
         service_s = upstream.service_share_s(took_s)
         self.spread.record(service_s, upstream.service_time_s)
@@ -304,12 +303,11 @@
         }
 
     def failing_refs(self, now: float) -> list[Incarnation]:
-        """Return the upstreams that fail nearly all of their requests."""
+        """Return the upstreams that fail all of their requests."""
         return [
             ref
             for ref, upstream in self.upstreams.items()
-            if upstream.failure_share.is_failing
-            and upstream.had_recent_requests(now)
+            if upstream.is_failing and upstream.had_recent_requests(now)
         ]
 
     def refs_with_recent_requests(self, now: float) -> Iterator[Incarnation]:
@@ -367,7 +365,6 @@
         :param is_alive: whether it answered or closed the connection.
         """
         upstream.failures += 1
-        upstream.failure_share.record(has_failed=True)
         excess = upstream.failures - FAILURES_BEFORE_PAUSE
         if excess < 0:
             return
--- a/src/oriolearch/core/failing.py
+++ b/src/oriolearch/core/failing.py
@@ -1,4 +1,4 @@
-"""Takes keys from upstreams that fail nearly all of their requests.
+"""Takes keys from upstreams that fail all of their requests.
 
 Such an upstream may answer health checks and renew its leases. Nobody else can
 serve its keys, so that they move to other upstreams for a while. When many
@@ -11,33 +11,15 @@
 
 from oriolearch.core.directory import Incarnation
 
-FAILURE_WEIGHT = 0.2  # of a request in the share of failures
-MIN_REQUESTS = 5  # before an upstream can count as failing
-FAILING_SHARE = 0.7
+# Failures in a row. Upstreams that fail half of their requests hardly ever fail
+# so many, and still serve the others.
+MIN_FAILURES = 10
 # Time without keys after the last report. Only requests show whether the
 # upstream has recovered.
 EXCLUSION_S = 5.0
 MAX_EXCLUDED_SHARE = 0.25  # of the upstreams of a pool
 
 
-@dataclass(slots=True)
-class FailureShare:
-    """Share of the recent requests to one upstream that failed."""
-
-    share: float = 0.0
-    count: int = 0
-
-    def record(self, *, has_failed: bool) -> None:
-        """Include the outcome of a request."""
-        self.count += 1
-        self.share += (has_failed - self.share) * FAILURE_WEIGHT
-
-    @property
-    def is_failing(self) -> bool:
-        """Return whether nearly all requests fail."""
-        return self.count >= MIN_REQUESTS and self.share > FAILING_SHARE
-
-
 @dataclass(slots=True)
 class FailingUpstreams:
     """The upstreams of one pool that hosts have reported as failing."""
--- a/src/oriolearch/core/upstream_state.py
+++ b/src/oriolearch/core/upstream_state.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from oriolearch.core.directory import Incarnation, UpstreamEntry
-from oriolearch.core.failing import FailureShare
+from oriolearch.core.failing import MIN_FAILURES
 from oriolearch.core.pacing import TokenBucket
 from oriolearch.core.service_times import Slowdown
 
@@ -108,7 +108,6 @@
     running: dict[QueuedRequest, None] = field(default_factory=dict)
     service_time_s: float = INITIAL_SERVICE_TIME_S
     answer_count: int = 0
-    failure_share: FailureShare = field(default_factory=FailureShare)
     slowdown: Slowdown = field(default_factory=Slowdown)
     reported_load: int = 0
     reported_at: float = float('-inf')
@@ -129,6 +128,11 @@
         """Return whether its mean service time is more than a guess."""
         return self.answer_count >= MIN_ANSWERS and self.last_contact_at > 0
 
+    @property
+    def is_failing(self) -> bool:
+        """Return whether it has failed all of its latest requests."""
+        return self.failures >= MIN_FAILURES
+
     def count_recent(self, now: float) -> int:
         """Return the number of requests assigned in the last second."""
         while self.recent and now - self.recent[0] >= 1:
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -374,7 +374,7 @@
         448,
         logging.WARNING,
         ('pool', 'upstream', 'failing', 'usable'),
-        'A host reports that an upstream fails nearly all of its requests; it '
+        'A host reports that an upstream has failed ten requests in a row; it '
         'loses its keys for some seconds unless many upstreams fail.',
     )
     MEMORY_EXCEEDED = EventKind(
