--- a/src/oriolearch/core/service_times.py
+++ b/src/oriolearch/core/service_times.py
@@ -17,6 +17,9 @@
 # A machine's load changes several times a second, so that a report has lost
 # most of its significance after this.
 SLOWDOWN_DECAY_S = 0.3
+# A report of more than this, in either direction, says that the machine is slow
+# or not, and no number that estimates should follow.
+MAX_RELATIVE_SLOWDOWN = 5.0
 # At higher utilisations the wait in the queue depends on each burst.
 MAX_UTILISATION = 0.95
 
@@ -50,7 +53,11 @@
         if age_s > 10 * SLOWDOWN_DECAY_S:
             return 1.0
         significance = math.exp(-age_s / SLOWDOWN_DECAY_S)
-        return 1 + (self.latest / self.mean - 1) * significance
+        relative = min(
+            max(self.latest / self.mean, 1 / MAX_RELATIVE_SLOWDOWN),
+            MAX_RELATIVE_SLOWDOWN,
+        )
+        return 1 + (relative - 1) * significance
 
 
 @dataclass(slots=True)
--- a/tests/test_owner_shares.py
+++ b/tests/test_owner_shares.py
@@ -229,6 +229,18 @@
     assert slowdown.relative(1.0 + age_s) == pytest.approx(expected)
 
 
+@pytest.mark.parametrize(('latest', 'expected'), [(999.0, 5.0), (0.01, 0.2)])
+def test_odd_slowdown_does_not_upset_the_estimate(
+    latest: float, expected: float
+) -> None:
+    """Fails if a faulty upstream passes for a very fast or a stopped one."""
+    slowdown = Slowdown()
+    for number in range(20):
+        slowdown.record(float(number), 1.0)
+    slowdown.record(20.0, latest)
+    assert slowdown.relative(20.0) == pytest.approx(expected)
+
+
 def test_spread_of_service_times_is_learned() -> None:
     """Fails if the model assumes more or less variation than there is."""
     rng = random.Random(3)
