--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -31,7 +31,7 @@
     Shortage,
     UpstreamState,
 )
-from oriolearch.core.zone_costs import Journey
+from oriolearch.core.zone_costs import RequestTiming
 
 SHED_PAUSE_S = 0.05  # an upstream that shed gets no new request for this long
 # After failures an upstream is avoided, or gets nothing, for this long. Doubles
@@ -434,11 +434,11 @@
                 if upstream and self._has_capacity(now, request, upstream)
                 else None
             )
-        journey = self._describe_journey(now, request)
+        timing = self._describe_timing(now, request)
         scores = {
             upstream.entry.ref: (
                 now < upstream.avoided_until,
-                self._score(now, upstream, journey),
+                self._score(now, upstream, timing),
             )
             for upstream in self.upstreams.values()
             if upstream.entry.ref not in request.tried
@@ -463,9 +463,11 @@
         request.tried = frozenset()
         return self._choose(now, request)
 
-    def _describe_journey(self, now: float, request: QueuedRequest) -> Journey:
+    def _describe_timing(
+        self, now: float, request: QueuedRequest
+    ) -> RequestTiming:
         left_s = request.objective_at - now
-        return Journey(
+        return RequestTiming(
             request.zone,
             left_s,
             max(left_s, self.service_time_s),
@@ -474,12 +476,12 @@
         )
 
     def _score(
-        self, now: float, upstream: UpstreamState, journey: Journey
+        self, now: float, upstream: UpstreamState, timing: RequestTiming
     ) -> float:
         wait_s = upstream.expected_wait_s(now) * (
             1 + WAIT_JITTER_SHARE * self.rng.random()
         )
-        return journey.cost(upstream.entry.zone, wait_s)
+        return timing.cost(upstream.entry.zone, wait_s)
 
     def _has_capacity(
         self, now: float, request: QueuedRequest, upstream: UpstreamState
--- a/src/oriolearch/core/zone_costs.py
+++ b/src/oriolearch/core/zone_costs.py
@@ -16,12 +16,13 @@
 # Part of the objective that an answer has to come earlier to be worth as much
 # as a gain of one in time: among answers in time, the faster one is better.
 TIME_WEIGHT = 0.1
+
 _SQRT_2 = math.sqrt(2)
 
 
 @dataclass(frozen=True, slots=True)
-class Journey:
-    """What a request still has before it, wherever it is served.
+class RequestTiming:
+    """Where a request comes from, and when its answer is due.
 
     :param zone: zone of the host that forwards it.
     :param left_s: seconds until its latency objective.
--- a/tests/test_zone_costs.py
+++ b/tests/test_zone_costs.py
@@ -10,7 +10,7 @@
 from oriolearch.core.directory import Incarnation, PoolPlan, UpstreamEntry
 from oriolearch.core.dispatching import Dispatcher
 from oriolearch.core.upstream_state import QueuedRequest
-from oriolearch.core.zone_costs import Journey
+from oriolearch.core.zone_costs import RequestTiming
 
 SLOTS = 3
 SERVICE_S = 0.2
@@ -42,8 +42,8 @@
     is_leaving: bool,
 ) -> None:
     """Fails if requests leave their zone for a gain that callers never see."""
-    journey = Journey('a', left_s, max(left_s, 0.3), 0.6, is_upload)
-    stays = journey.cost('a', home_s) <= journey.cost('b', away_s)
+    timing = RequestTiming('a', left_s, max(left_s, 0.3), 0.6, is_upload)
+    stays = timing.cost('a', home_s) <= timing.cost('b', away_s)
     assert stays is not is_leaving
 
 
