--- a/src/oriolearch/adapters/heads.py
+++ b/src/oriolearch/adapters/heads.py
@@ -16,8 +16,8 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
+from oriolearch.adapters.upstream_links import MAX_STATUS
 
-MAX_STATUS = 599
 MAX_HEAD_BYTES = 64 * 1024  # with the interim responses before it
 
 
--- a/src/oriolearch/adapters/host_links.py
+++ b/src/oriolearch/adapters/host_links.py
@@ -115,7 +115,6 @@
             raise PeerError(self.address, reason) from error
 
     async def _read_line(self, timeout_s: float | None) -> bytes:
-        searched = 0
         end = self.unread.find(b'\n')
         began_at = lease_clock() if self.unread else math.inf
         while end < 0:
--- a/src/oriolearch/core/balance.py
+++ b/src/oriolearch/core/balance.py
@@ -154,15 +154,18 @@
         )
 
 
+def is_steady(previous: float, reported: float) -> bool:
+    """Return whether an estimate has changed by no more than chance may."""
+    return 1 / STEADY_RATIO < reported / previous < STEADY_RATIO
+
+
 def smooth(previous: float | None, reported: float) -> float:
     """Return an estimate, such as a service time, after a report.
 
     Most differences between two reports are random. One that is not, as of an
     upstream that has become slow, counts at once.
     """
-    if not previous:
-        return reported
-    if not 1 / STEADY_RATIO < reported / previous < STEADY_RATIO:
+    if not previous or not is_steady(previous, reported):
         return reported
     return previous + (reported - previous) * REPORT_WEIGHT
 
--- a/src/oriolearch/core/owner_shares.py
+++ b/src/oriolearch/core/owner_shares.py
@@ -12,13 +12,14 @@
 from itertools import chain, groupby, pairwise
 from statistics import fmean
 
-from oriolearch.core.balance import REPORT_WEIGHT, STEADY_RATIO, smooth
+from oriolearch.core.balance import REPORT_WEIGHT, is_steady, smooth
 from oriolearch.core.directory import Directory, Incarnation, UpstreamEntry
 from oriolearch.core.service_times import (
     INITIAL_SPREAD,
     MAX_SPREAD,
     Capability,
 )
+from oriolearch.core.upstream_state import INITIAL_SERVICE_TIME_S
 
 # Late answers, as a share of the requests, that a fully used upstream has to
 # save to be worth its lost headroom. Without it the fastest upstreams would get
@@ -33,7 +34,6 @@
 # Service times that differ by less count as equal.
 CLASS_RATIO = 1.1
 COLD_SPEED_FACTOR = 0.3  # speed of an upstream in its cold start
-INITIAL_SERVICE_TIME_S = 0.12  # assumed of a pool before the first report
 SPREAD_REPORT_WEIGHT = 0.02  # of a host's report in the spread of a pool
 # Of the peak rate from one division of the load to the next, 0.4 s later: it
 # halves in 20 s.
@@ -49,6 +49,8 @@
     :ivar service_times: mean service time by upstream, in seconds.
     :ivar spread: standard deviation of the logarithm of service times.
     :ivar shares: of the load, smoothed over the times it was divided.
+    :ivar divided_for: speed of each upstream when its share last changed at
+        once.
     :ivar peak_rate: requests per second for which the load is divided.
     """
 
@@ -115,38 +117,24 @@
         divided = divide_load(self.peak_rate, capabilities, objective_s)
         self.division_count += 1
         weight = max(REPORT_WEIGHT, 1 / self.division_count)
+        changed = {
+            ref: capability
+            for ref, capability in capabilities.items()
+            if ref not in self.divided_for
+            or not is_steady(self.divided_for[ref].mean_s, capability.mean_s)
+        }
         self.shares = {
-            ref: self._smooth_share(ref, share, capabilities[ref], weight)
+            ref: share
+            if ref in changed
+            else self.shares[ref] + (share - self.shares[ref]) * weight
             for ref, share in divided.items()
         }
         self.divided_for = {
-            ref: self.divided_for[ref]
-            if _is_steady(self.divided_for.get(ref), capability)
-            else capability
-            for ref, capability in capabilities.items()
+            ref: changed.get(ref) or self.divided_for[ref]
+            for ref in capabilities
         }
         return self.shares
 
-    def _smooth_share(
-        self,
-        ref: Incarnation,
-        share: float,
-        capability: Capability,
-        weight: float,
-    ) -> float:
-        before = self.shares.get(ref)
-        is_steady = _is_steady(self.divided_for.get(ref), capability)
-        if before is None or not is_steady:
-            return share
-        return before + (share - before) * weight
-
-
-def _is_steady(before: Capability | None, capability: Capability) -> bool:
-    """Return whether a speed is about the same as before."""
-    if before is None:
-        return False
-    return 1 / STEADY_RATIO < capability.mean_s / before.mean_s < STEADY_RATIO
-
 
 def find_objective(directory: Directory | None, pool: str) -> float:
     """Return the tightest latency objective of the routes to a pool.
--- a/src/oriolearch/core/service_times.py
+++ b/src/oriolearch/core/service_times.py
@@ -81,6 +81,19 @@
         self.variance += (deviation**2 - self.variance) * SPREAD_WEIGHT
 
 
+def late_probability(mean_s: float, spread: float, left_s: float) -> float:
+    """Return the probability that a time exceeds what is left.
+
+    :param mean_s: mean of the time, in seconds.
+    :param spread: standard deviation of its logarithm.
+    :param left_s: seconds that are left.
+    """
+    if left_s <= 0:
+        return 1.0
+    log_left = math.log(left_s / mean_s) + spread**2 / 2
+    return math.erfc(log_left / spread / _SQRT_2) / 2
+
+
 @dataclass(frozen=True, slots=True)
 class Capability:
     """How fast an upstream answers, as far as it is known.
@@ -104,10 +117,7 @@
         :param utilisation: share of the time in which its slots are busy.
         """
         left_s = objective_s - self.queue_s(utilisation)
-        if left_s <= 0:
-            return 1.0
-        log_left = math.log(left_s / self.mean_s) + self.spread**2 / 2
-        return math.erfc(log_left / self.spread / _SQRT_2) / 2
+        return late_probability(self.mean_s, self.spread, left_s)
 
     def queue_s(self, utilisation: float) -> float:
         """Return the mean wait for a slot, in seconds.
--- a/src/oriolearch/core/zone_costs.py
+++ b/src/oriolearch/core/zone_costs.py
@@ -7,9 +7,10 @@
 that they could serve themselves.
 """
 
-import math
 from dataclasses import dataclass
 
+from oriolearch.core.service_times import late_probability
+
 # Probability of an answer in time that has to be gained by leaving the zone.
 LEAVE_PRICE = 0.03
 UPLOAD_LEAVE_PRICE = 0.3  # uploads move about a hundred times the bytes
@@ -17,8 +18,6 @@
 # as a gain of one in time: among answers in time, the faster one is better.
 TIME_WEIGHT = 0.1
 
-_SQRT_2 = math.sqrt(2)
-
 
 @dataclass(frozen=True, slots=True)
 class RequestTiming:
@@ -47,13 +46,7 @@
 
         :param answer_s: expected time until its answer, in seconds.
         """
-        late = self._late_probability(answer_s)
+        late = late_probability(answer_s, self.spread, self.left_s)
         return (
             late + TIME_WEIGHT * answer_s / self.objective_s + self.price(zone)
         )
-
-    def _late_probability(self, answer_s: float) -> float:
-        if self.left_s <= 0:
-            return 1.0
-        log_left = math.log(self.left_s / answer_s) + self.spread**2 / 2
-        return math.erfc(log_left / self.spread / _SQRT_2) / 2
--- a/src/oriolearch/members.py
+++ b/src/oriolearch/members.py
@@ -241,5 +241,6 @@
         if hosts == self.sent_hosts:
             return
         self.sent_hosts = hosts
-        self.on_hosts_changed(hosts, self._zones(hosts))
-        self.send_to_all(self._hosts_message(hosts))
+        message = self._hosts_message(hosts)
+        self.on_hosts_changed(hosts, message['zones'])
+        self.send_to_all(message)
--- a/src/oriolearch/reporting.py
+++ b/src/oriolearch/reporting.py
@@ -22,15 +22,16 @@
         for pool, dispatcher in dispatchers.items()
         if dispatcher.plan.is_keyed
     }
+    service_times = {
+        pool: dispatcher.recent_service_times(now)
+        for pool, dispatcher in keyed.items()
+    }
     return {
-        'works': {
-            pool: dispatcher.recent_service_times(now)
-            for pool, dispatcher in keyed.items()
-        },
+        'works': service_times,
         'spreads': {
             pool: round(math.sqrt(dispatcher.spread.variance), 4)
             for pool, dispatcher in keyed.items()
-            if dispatcher.recent_service_times(now)
+            if service_times[pool]
         },
         'failing': {
             pool: [ref.text() for ref in dispatcher.failing_refs(now)]
