--- a/review/10/case.py
+++ b/review/10/case.py
@@ -19,6 +19,7 @@
 def config(version, timeout_s, service, *, has_new):
     rules = [
         r.make_rule('look', 'safe', service, timeout_s),
+        r.make_rule('order', 'unsafe', service, timeout_s),
         r.make_rule('read', 'safe', 'archive', timeout_s),
     ]
     if has_new:
@@ -35,7 +36,8 @@
         )
     await rig.start_hosts()
     await rig.until_serving('/look/', range(4))
-    rig.spawn(rig.run_caller('/look/', 'GET', 20, keys=False))
+    rig.spawn(rig.run_caller('/look/', 'GET', 15, keys=False))
+    rig.spawn(rig.run_caller('/order/', 'POST', 10, keys=False))
     rig.spawn(rig.run_caller('/read/', 'GET', 20, keys=False))
     await asyncio.sleep(5)
     copy = rig.store.copy()
@@ -55,7 +57,7 @@
     )
     acknowledged_at = rig.record.now()
     rig.record.note(
-        f'the operator sends r12 (look moves, new comes), row version {version}'
+        f'the operator sends r12 (look and order move, new comes), row version {version}'
     )
     await asyncio.sleep(r.CONFIG_S + OUTER_S + 1)
     rig.spawn(rig.run_caller('/new/', 'GET', 20, keys=False))
@@ -66,18 +68,19 @@
         for sent_at, _, _, _, _, attempt in rig.answers
         if sent_at > bound
     }
-    looks = {
-        attempt
+    moved = {
+        attempt: path
         for sent_at, _, path, _, _, attempt in rig.answers
-        if path.startswith('/look/') and sent_at > bound
+        if path.startswith(('/look/', '/order/')) and sent_at > bound
     }
     breaches = [
-        f'CONFIG: a request of /look/ sent {late[attempt] - acknowledged_at:.1f}'
-        f' s after the acknowledgement was run by {server.name} of stock'
+        f'CONFIG: a request of {moved[attempt]} sent '
+        f'{late[attempt] - acknowledged_at:.1f} s after the acknowledgement '
+        f'was run by {server.name} of stock'
         for server in rig.servers
         if server.service == 'stock'
         for _, _, attempt in server.runs
-        if attempt in looks
+        if attempt in moved
     ]
     breaches.extend(
         f'CONFIG: a request of /new/ sent {sent_at - acknowledged_at:.1f} s'
