--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -1011,7 +1011,7 @@
 
 
 def read_command():
-    """Return the command of the deploy file, with this interpreter."""
+    """Return the command of the deploy file."""
     text = (ROOT / 'deploy' / 'system.toml').read_text('utf-8')
     match = re.search(r'^run = "([^"]*)"', text, re.MULTILINE)
     return match[1].split(' ')
@@ -1036,6 +1036,11 @@
 
     async def run() -> int:
         rig = Rig(folder, zones, hosts_per_zone)
+        task = asyncio.current_task()
+        # So that the hosts are ended as well when the run takes too long.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         try:
             async with asyncio.timeout(110):
                 breaches = await play(rig)
@@ -1047,7 +1052,7 @@
                 else 'the rule held'
             )
             return 1 if breaches else 0
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             rig.record.note(f'could not run: {type(error).__name__} {error}')
             return 2
         finally:
