Order what the store says by era and version

A store that comes back from an earlier copy gives out its version numbers again and names a higher era in its answers. Nothing read the era, so numbers of two eras were compared as if they were of one history.

StoreVersion is the pair of era and number, ordered by era first. The platform's store client decodes the era once. An answer without it keeps the era that was known. The client sends no condition of an earlier era, since its number may be that of another version by now; follows no changes after such a version; and believes no answer of an earlier era that arrives late. A write whose answer shows a new era has an unknown outcome, and a failed condition then proves nothing.

Hosts tell each other the era beside the versions. Messages without an era are taken as of the era that the receiver knows, so that hosts of this and of the previous version of the program understand each other.

A new era is logged once a host (event 449, which is counted like all events), all open polls are sent anew, and the gauge store_era shows it.

No change of behaviour is meant for a store that names no era.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -31,6 +31,7 @@
 )
 from oriolearch.core.keyranges import OwnedRange
 from oriolearch.core.notices import NoticeChannel
+from oriolearch.core.versions import ABSENT, StoreVersion
 from oriolearch.core.witnesses import Promise
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.forwarding import Forwarder
@@ -56,8 +57,10 @@
 from oriolearch.relaying import (
     Forward,
     Relay,
+    decode_versions,
     discard_rows,
     encode_rows,
+    encode_versions,
 )
 from oriolearch.reporting import (
     apply_report,
@@ -118,6 +121,7 @@
         may grant and renew leases.
     :ivar is_cut_off: whether neither the coordinator, nor most of the other
         hosts, nor the store can be reached.
+    :ivar era_seen_at: when this host learned of the present era of the store.
     :ivar open_takeovers: number of takeovers whose outcome is not known yet.
     """
 
@@ -145,7 +149,7 @@
         self.log = log
         self.rng = rng
         self.row: CoordinatorRow | None = None
-        self.row_version = 0
+        self.row_version = ABSENT
         self.is_first_start = identity.is_first_start
         self.has_read_coordinator_row = False
         self.leadership: Leadership | None = None
@@ -166,10 +170,12 @@
         self.is_stopping = False
         self.is_cut_off = False
         self.promise = Promise()
+        self.era_seen_at = lease_clock()
         self.open_takeovers = 0
         self.server: asyncio.Server | None = None
         self.peer_links: set[HostLink] = set()
         self.tasks: set[asyncio.Task[None]] = set()
+        relay.ledger.on_era = self._record_era
         forwarder.count_key = self.count_key
         forwarder.hears_coordinator = self.hears_coordinator
         forwarder.reservation_router.is_list_confirmed = self.hears_coordinator
@@ -227,7 +233,7 @@
     async def follow(self) -> None:
         """Keep the coordinator row up to date with the store."""
         # At a first start nothing can have changed before the first poll.
-        after: int | None = 0 if self.is_first_start else None
+        after = StoreVersion() if self.is_first_start else None
         while True:
             await self.relay.must_poll.wait()
             if self.leadership is not None:
@@ -253,7 +259,7 @@
         The polls of :meth:`follow` last too long for that. One that began
         before the term may still be open.
         """
-        after: int | None = None
+        after: StoreVersion | None = None
         while not leadership.is_over:
             try:
                 after = await self._poll_coordinator_table(
@@ -267,6 +273,15 @@
             else:
                 self._record_store_answer()
 
+    def _record_era(self, is_restored: bool) -> None:
+        """Read all tables anew if the store came back from an earlier copy."""
+        self.era_seen_at = lease_clock()
+        if not is_restored:
+            return
+        self.log.emit(Event.STORE_RESTORED, era=self.relay.ledger.era)
+        self.registry.record_store_outage(loop_clock())
+        self.relay.reopen_polls('the store came back from an earlier copy')
+
     def is_store_lost(self) -> bool:
         """Return whether the store does not answer the coordinator."""
         if self.leadership is not None:
@@ -300,10 +315,10 @@
 
     async def _poll_coordinator_table(
         self,
-        after: int | None,
+        after: StoreVersion | None,
         wait_s: float,
         grace_s: float,
-    ) -> int:
+    ) -> StoreVersion:
         """Read the table, or wait for changes after a version.
 
         :returns: the version up to which the table has been read.
@@ -509,7 +524,7 @@
                     'capacity': self.capacity,
                     'run': self.nonce,
                     'ready': self._has_read_tables(),
-                    'versions': self.relay.versions(),
+                    **encode_versions(self.relay.versions()),
                 },
             )
             while row is self.row or self.row is None:
@@ -746,7 +761,8 @@
         leadership.add_member(link, member)
         if hello.get('ready'):
             leadership.members.set_ready(link)
-        for line in self.relay.lines_since(hello['versions']):
+        versions = decode_versions(hello, self.relay.ledger.era)
+        for line in self.relay.lines_since(versions):
             link.send_line(line)
         leadership.members.send_watchers(link)
         try:
@@ -890,7 +906,7 @@
     def _begin_term(
         self,
         row: CoordinatorRow,
-        version: int,
+        version: StoreVersion,
         began_at: float,
         predecessor: CoordinatorRow | None,
     ) -> None:
@@ -956,7 +972,7 @@
         self,
         address: str,
         row: CoordinatorRow,
-        version: int,
+        version: StoreVersion,
     ) -> None:
         """Notify a host that may still follow the predecessor."""
         try:
@@ -969,7 +985,8 @@
             {
                 'kind': 'lead',
                 'row': row.encode().decode(),
-                'version': version,
+                'era': version.era,
+                'version': version.number,
             },
         )
         await asyncio.sleep(ANSWER_TIMEOUT_S)
@@ -978,7 +995,9 @@
     def _apply_announcement(self, message: Message) -> None:
         value = str(message['row']).encode()
         name = COORDINATOR_ROW
-        row = StoredRow(name.table, name.key, value, int(message['version']))
+        era = int(message.get('era', self.relay.ledger.era))
+        version = StoreVersion(era, int(message['version']))
+        row = StoredRow(name.table, name.key, value, version)
         self._apply_rows(TableState((row,), row.version))
 
     async def _report_locally(self, leadership: Leadership) -> None:
@@ -1069,7 +1088,9 @@
 def _forward_to(link: HostLink) -> Forward:
     """Return a function that sends changed rows over a connection."""
 
-    def forward(table: str, rows: list[StoredRow], version: int) -> None:
+    def forward(
+        table: str, rows: list[StoredRow], version: StoreVersion
+    ) -> None:
         link.send(encode_rows(table, rows, version))
 
     return forward
--- a/src/oriolearch/coordinator_rows.py
+++ b/src/oriolearch/coordinator_rows.py
@@ -14,6 +14,7 @@
 from oriolearch.core.errors import MALFORMED_ERRORS, ConditionFailedError
 from oriolearch.core.keyranges import OwnedRange
 from oriolearch.core.ownership import KeyRange
+from oriolearch.core.versions import StoreVersion
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.packing import decompress
 from oriolearch.ports import RowName, StoredRow
@@ -168,10 +169,16 @@
     return parse_incarnation(text) if text else None
 
 
-def required_versions(error: ConditionFailedError) -> dict[RowName, int]:
-    """Return the present versions of the rows that failed a condition."""
+def required_versions(
+    error: ConditionFailedError, era: int
+) -> dict[RowName, StoreVersion]:
+    """Return the present versions of the rows that failed a condition.
+
+    :param era: era of the versions that the conditions named.
+    """
     return {
-        RowName(table, key): version for table, key, version in error.failed
+        RowName(table, key): StoreVersion(era, number)
+        for table, key, number in error.failed
     }
 
 
--- a/src/oriolearch/core/errors.py
+++ b/src/oriolearch/core/errors.py
@@ -137,6 +137,10 @@
     """The answer to a call was lost; the call may have taken effect."""
 
 
+class EraChangedError(PlatformRefusedError):
+    """The store came back from an earlier copy; read again before a write."""
+
+
 class HistoryLostError(PlatformError):
     """The changes since a version are gone; read the whole table."""
 
@@ -169,7 +173,8 @@
 class ConditionFailedError(PlatformError):
     """A transaction was refused because a row had another version.
 
-    :param failed: ``(table, key, current version)`` of each such row.
+    :param failed: ``(table, key, number of the current version)`` of each
+        such row.
     """
 
     def __init__(self, failed: tuple[tuple[str, str, int], ...]) -> None:
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -248,6 +248,12 @@
         ('table', 'version', 'away_s'),
         'The store answers again.',
     )
+    STORE_RESTORED = EventKind(
+        449,
+        logging.WARNING,
+        ('era',),
+        'The store came back from an earlier copy; all tables are read anew.',
+    )
     DIRECTORY_APPLIED = EventKind(
         423,
         logging.INFO,
--- a/src/oriolearch/gauges.py
+++ b/src/oriolearch/gauges.py
@@ -135,7 +135,12 @@
         (
             'table_version',
             'Version of the store up to which a table is known.',
-            [({'table': table}, version) for table, version in versions],
+            [({'table': table}, version.number) for table, version in versions],
+        ),
+        (
+            'store_era',
+            'Grows each time the store comes back from an earlier copy.',
+            [({}, coordination.relay.ledger.era)],
         ),
         (
             'table_age_seconds',
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -43,6 +43,7 @@
     Store,
     make_even_ranges,
 )
+from oriolearch.core.versions import ABSENT, StoreVersion
 from oriolearch.core.witnesses import (
     FIRST_TERM,
     LONG_AUTHORITY_S,
@@ -116,7 +117,7 @@
     def __init__(
         self,
         row: CoordinatorRow,
-        row_version: int,
+        row_version: StoreVersion,
         store: SharedStore,
         grants: GrantPort,
         registry: Registry,
@@ -133,7 +134,7 @@
         self.local_host = local_host
         self.began_at = lease_clock()
         self.authority = Authority(self.began_at)
-        self.witness_version: int | None = None
+        self.witness_version: StoreVersion | None = None
         self.witnesses: tuple[Witness, ...] = ()
         self.over_before = FIRST_TERM
         self.stored_over_before = FIRST_TERM
@@ -142,7 +143,7 @@
         self.predecessor_end_at = self.began_at + LONG_AUTHORITY_S
         self.pools: dict[str, KeyOwnership] = {}
         self.openings: dict[str, PoolOpening] = {}
-        self.pool_versions: dict[str, int] = {}
+        self.pool_versions: dict[str, StoreVersion] = {}
         self.stored_rows: dict[str, StoredRow] = {}
         self.members = Members(
             own_member, self._heartbeat_message, local_host.update_hosts
@@ -351,7 +352,9 @@
         self.is_storing_witnesses = True
         self.local_host.spawn(self._store_witnesses(self.witness_version, row))
 
-    async def _store_witnesses(self, version: int, row: WitnessRow) -> None:
+    async def _store_witnesses(
+        self, version: StoreVersion, row: WitnessRow
+    ) -> None:
         sent_at = lease_clock()
         conditions = {COORDINATOR_ROW: self.row_version, WITNESS_ROW: version}
         self.authority.record_proposed_group(row.witnesses)
@@ -386,13 +389,13 @@
 
     def _recover_witness_version(self, error: ConditionFailedError) -> None:
         """Update the version after a write whose answer was lost."""
-        versions = required_versions(error)
+        versions = required_versions(error, self.row_version.era)
         if self._is_replaced(versions):
             self.local_host.end_term('another host took over')
             return
         self.witness_version = versions.get(WITNESS_ROW, self.witness_version)
 
-    def _is_replaced(self, versions: dict[RowName, int]) -> bool:
+    def _is_replaced(self, versions: dict[RowName, StoreVersion]) -> bool:
         """Return whether another host has taken over.
 
         A coordinator that is shutting down has changed its own row, so a
@@ -414,7 +417,7 @@
             if row.key == WITNESS_ROW.key and row.value is not None
         )
         row = next(named, None)
-        self.witness_version = row.version if row else 0
+        self.witness_version = row.version if row else ABSENT
         return decode_witnesses(row.value if row else None)
 
     async def _read_table(self, table: str) -> tuple[StoredRow, ...]:
@@ -474,9 +477,9 @@
             unknown_until if stored is not None else now,
         )
         self.pools[pool] = ownership
-        self.pool_versions[pool] = stored.version if stored else 0
+        self.pool_versions[pool] = stored.version if stored else ABSENT
         if stored is not None and stored.value is None:
-            self.pool_versions[pool] = 0
+            self.pool_versions[pool] = ABSENT
         self._send_owners(pool, ownership.snapshot(lease_clock()), True)
         return ownership
 
@@ -568,7 +571,7 @@
         ownership.record_store_failure(now, is_outcome_unknown=not is_refused)
         self.log.emit(Event.STORE_LOST, table=OWNER_TABLE, error=str(error))
         if isinstance(error, ConditionFailedError):
-            versions = required_versions(error)
+            versions = required_versions(error, self.row_version.era)
             if self._is_replaced(versions):
                 self.local_host.end_term('another host took over')
                 return
--- a/src/oriolearch/members.py
+++ b/src/oriolearch/members.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from oriolearch.adapters.host_links import HostLink, Message, encode_line
+from oriolearch.core.versions import StoreVersion
 from oriolearch.core.witnesses import Witness
 from oriolearch.ports import StoredRow
 from oriolearch.relaying import encode_rows
@@ -153,7 +154,7 @@
         self,
         table: str,
         rows: list[StoredRow],
-        version: int,
+        version: StoreVersion,
     ) -> None:
         """Send changed rows to all hosts."""
         self.send_to_all(encode_rows(table, rows, version))
--- a/src/oriolearch/platform/store.py
+++ b/src/oriolearch/platform/store.py
@@ -11,24 +11,27 @@
 from oriolearch.clock import loop_clock
 from oriolearch.core.errors import (
     ConditionFailedError,
+    EraChangedError,
     HistoryLostError,
     OutcomeUnknownError,
     PlatformError,
     PlatformRefusedError,
 )
-from oriolearch.core.versions import VersionLedger
+from oriolearch.core.versions import StoreVersion, VersionLedger
 from oriolearch.ports import LONG_POLL_GRACE_S, RowName, StoredRow, TableState
 
 # The store answers within 4 ms, or within 50 times that when it is slow.
 CALL_TIMEOUT_S = 1.5
 MAX_PAGE_ROWS = 500  # most rows that the store returns for a read
+# Header of all answers; rises when the store comes back from an earlier copy.
+ERA_HEADER = b'store-era'
 
 
 class StoreClient:
     """Client of the store, shared by a process.
 
     :param address: ``host:port`` of the store.
-    :param ledger: records the versions that answers name.
+    :param ledger: records the era and the versions that answers name.
     :ivar outcomes: number of calls by path and outcome, which is the
         status or ``unanswered``.
     :ivar on_outcome: called after each call with the time at which it was
@@ -51,20 +54,24 @@
         The pages are read in turn. The version is that of the first page, so
         that :meth:`follow` returns changes made between the pages again.
 
+        :raises EraChangedError: when the store came back from an earlier copy
+            between two pages.
         :raises PlatformError: when the table cannot be read.
         """
         rows: list[StoredRow] = []
         start = ''
-        version: int | None = None
+        version: StoreVersion | None = None
         while True:
             query = {'table': table, 'part': '', 'limit': MAX_PAGE_ROWS}
             if start:
                 query['from'] = start
             body = await self._get('/rows-get', query, CALL_TIMEOUT_S)
-            page = [_decode_row(row) for row in _objects(body, 'rows')]
+            page = self._decode_rows(body)
             rows.extend(page)
             newest = self._record_versions(body, page)
             version = newest if version is None else version
+            if newest.era != version.era:
+                raise EraChangedError(f'pages of {table} are of two eras')
             if not body.get('more_pages') or not page:
                 return TableState(tuple(rows), version)
             start = f'{page[-1].key}\x00'
@@ -72,7 +79,7 @@
     async def follow(
         self,
         table: str,
-        after: int,
+        after: StoreVersion,
         wait_s: float,
         grace_s: float = LONG_POLL_GRACE_S,
     ) -> TableState:
@@ -84,68 +91,85 @@
             after the version, so that the table must be read anew.
         :raises PlatformError: when the call fails.
         """
+        self._check_history(after)
         query = {
             'table': table,
-            'after': after,
+            'after': after.number,
             'wait_ms': int(wait_s * 1000),
         }
         body = await self._get('/rows-feed', query, wait_s + grace_s)
-        rows = tuple(_decode_row(row) for row in _objects(body, 'rows'))
+        self._check_history(after)
+        rows = tuple(self._decode_rows(body))
         return TableState(rows, self._record_versions(body, rows))
 
     async def commit(
         self,
-        conditions: Mapping[RowName, int],
+        conditions: Mapping[RowName, StoreVersion],
         writes: Mapping[RowName, bytes],
-    ) -> int:
+    ) -> StoreVersion:
         """Write rows if all conditions hold; return the new version.
 
         :raises ConditionFailedError: when a row has another version.
+        :raises EraChangedError: when nothing was written, since a condition
+            names a version of an earlier era.
         :raises PlatformRefusedError: when nothing was written.
         :raises OutcomeUnknownError: when the writes may have been applied,
             or may still be.
         """
-        body = json.dumps(
-            {
-                'expected_revision': [
-                    {**_encode_name(name), 'ver': version}
-                    for name, version in conditions.items()
-                ],
-                'writes': [
-                    {
-                        **_encode_name(name),
-                        'value': base64.b64encode(value).decode(),
-                    }
-                    for name, value in writes.items()
-                ],
-                'remove': [],
-            },
-        ).encode()
+        self._check_conditions(conditions)
+        era = self.ledger.known_era
+        body = _encode_transaction(conditions, writes)
         path = '/rows-tx'
         request = _encode_head('POST', path, self.address, len(body)) + body
         try:
             answer = await self._exchange(
-                self.call_links,
-                path,
-                request,
-                CALL_TIMEOUT_S,
+                self.call_links, path, request, CALL_TIMEOUT_S
             )
         except LinkError as error:
             if error.was_sent:
                 raise OutcomeUnknownError(str(error)) from error
             raise PlatformRefusedError(str(error)) from error
+        if era is not None and era != self.ledger.era:
+            self._reject_new_era(answer)
+        return self._decode_outcome(answer)
+
+    def _check_conditions(
+        self, conditions: Mapping[RowName, StoreVersion]
+    ) -> None:
+        """Check that conditions can hold in the present era.
+
+        :raises EraChangedError: when one is of an earlier era. Its number may
+            be that of another version of the row by now.
+        """
+        if any(
+            version.number and version.era != self.ledger.era
+            for version in conditions.values()
+        ):
+            raise EraChangedError('a condition is of an earlier era')
+
+    def _reject_new_era(self, answer: HttpResponse) -> None:
+        """Reject the outcome of a write that was sent in an earlier era.
+
+        Its conditions may have held, or failed, for another version.
+
+        :raises OutcomeUnknownError: when it was written.
+        :raises EraChangedError: when it was not written.
+        """
         if answer.status == 200:
-            version = _decode_version(_decode_body(answer))
+            raise OutcomeUnknownError('written in a new era of the store')
+        if answer.status == 412:
+            raise EraChangedError('a condition is of an earlier era')
+
+    def _decode_outcome(self, answer: HttpResponse) -> StoreVersion:
+        """Return the version of a write, or raise the error it met."""
+        if answer.status == 200:
+            version = self._record_versions(_decode_body(answer), ())
             self.ledger.record_changes((version,))
-            self.ledger.record_newest(loop_clock(), version)
             return version
         if answer.status == 412:
-            rows = [
-                _decode_row(fields)
-                for fields in _objects(_decode_body(answer), 'rows')
-            ]
+            rows = self._decode_rows(_decode_body(answer))
             raise ConditionFailedError(
-                tuple((row.table, row.key, row.version) for row in rows),
+                tuple((row.table, row.key, row.version.number) for row in rows),
             )
         raise PlatformRefusedError(
             f'store answered with status {answer.status}',
@@ -179,9 +203,10 @@
         request: bytes,
         timeout_s: float,
     ) -> HttpResponse:
-        """Call the store and count the outcome.
+        """Call the store, count the outcome, and record the era.
 
         :raises LinkError: when there is no answer.
+        :raises OutcomeUnknownError: when the answer is of an earlier era.
         """
         sent_at = loop_clock()
         try:
@@ -192,16 +217,33 @@
             raise
         self.outcomes[path, str(answer.status)] += 1
         self.on_outcome(sent_at, True)
+        era = _decode_era(answer)
+        if era is not None:
+            self.ledger.record_era(era)
+            if era < self.ledger.era:
+                raise OutcomeUnknownError('the answer is of an earlier era')
         return answer
 
+    def _check_history(self, after: StoreVersion) -> None:
+        """Check that changes after a version can be followed.
+
+        :raises HistoryLostError: when the version is of an earlier era.
+        """
+        if after.number and after.era != self.ledger.era:
+            raise HistoryLostError(f'version {after} is of an earlier era')
+
+    def _decode_rows(self, body: Mapping[str, Any]) -> list[StoredRow]:
+        era = self.ledger.era
+        return [_decode_row(row, era) for row in _objects(body, 'rows')]
+
     def _record_versions(
         self, body: Mapping[str, Any], rows: Iterable[StoredRow]
-    ) -> int:
+    ) -> StoreVersion:
         """Record the versions that an answer names; return the newest."""
-        version = _decode_version(body)
+        newest = StoreVersion(self.ledger.era, _decode_version(body))
         self.ledger.record_changes(row.version for row in rows)
-        self.ledger.record_newest(loop_clock(), version)
-        return version
+        self.ledger.record_newest(loop_clock(), newest)
+        return newest
 
 
 def _encode_head(method: str, target: str, address: str, length: int) -> bytes:
@@ -212,6 +254,28 @@
     return '\r\n'.join((*lines, '', '')).encode()
 
 
+def _encode_transaction(
+    conditions: Mapping[RowName, StoreVersion],
+    writes: Mapping[RowName, bytes],
+) -> bytes:
+    return json.dumps(
+        {
+            'expected_revision': [
+                {**_encode_name(name), 'ver': version.number}
+                for name, version in conditions.items()
+            ],
+            'writes': [
+                {
+                    **_encode_name(name),
+                    'value': base64.b64encode(value).decode(),
+                }
+                for name, value in writes.items()
+            ],
+            'remove': [],
+        },
+    ).encode()
+
+
 def _encode_name(name: RowName) -> dict[str, str]:
     return {'table': name.table, 'part': '', 'key': name.key}
 
@@ -242,7 +306,13 @@
     return version
 
 
-def _decode_row(fields: Mapping[str, Any]) -> StoredRow:
+def _decode_era(answer: HttpResponse) -> int | None:
+    """Return the era that an answer names, or ``None`` if it names none."""
+    text = answer.header(ERA_HEADER)
+    return int(text) if text is not None and text.isdigit() else None
+
+
+def _decode_row(fields: Mapping[str, Any], era: int) -> StoredRow:
     encoded = fields.get('value')
     value: bytes | None = None
     if not fields.get('removed') and isinstance(encoded, str):
@@ -255,7 +325,7 @@
         str(fields.get('table', '')),
         str(fields.get('key', '')),
         value,
-        version if isinstance(version, int) else 0,
+        StoreVersion(era, version if isinstance(version, int) else 0),
     )
 
 
--- a/src/oriolearch/platform/watching.py
+++ b/src/oriolearch/platform/watching.py
@@ -3,6 +3,7 @@
 from oriolearch.clock import loop_clock
 from oriolearch.core.directory import UpstreamEntry
 from oriolearch.core.errors import ValidationError
+from oriolearch.core.versions import StoreVersion
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.platform.documents import (
     CONFIG_KEY,
@@ -56,7 +57,9 @@
             for mirror in (self.operator, self.upstreams)
         )
 
-    def apply_operator_rows(self, rows: list[StoredRow], version: int) -> None:
+    def apply_operator_rows(
+        self, rows: list[StoredRow], version: StoreVersion
+    ) -> None:
         """Apply changed rows of the operator."""
         for row in rows:
             if row.key == CONFIG_KEY and row.value is not None:
@@ -75,7 +78,9 @@
                 row_version=version,
             )
 
-    def apply_upstream_rows(self, rows: list[StoredRow], version: int) -> None:
+    def apply_upstream_rows(
+        self, rows: list[StoredRow], version: StoreVersion
+    ) -> None:
         """Apply changed rows of servers."""
         now = loop_clock()
         with self.registry.batch_changes():
@@ -160,7 +165,9 @@
         for row in deferred:
             self._apply_upstream_row(now, row)
 
-    def _remove_upstream(self, now: float, name: str, version: int) -> None:
+    def _remove_upstream(
+        self, now: float, name: str, version: StoreVersion
+    ) -> None:
         if name not in self.upstream_names:
             return
         self.upstream_names.discard(name)
--- a/src/oriolearch/polling.py
+++ b/src/oriolearch/polling.py
@@ -10,6 +10,7 @@
 
 from oriolearch.clock import loop_clock
 from oriolearch.core.errors import HistoryLostError, PlatformError
+from oriolearch.core.versions import StoreVersion
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.ports import SharedStore, TableState
 from oriolearch.registry import Registry
@@ -76,7 +77,7 @@
         self.is_in_doubt = False
         self.retry_delay_s = FIRST_RETRY_DELAY_S
         self.sent_at = 0.0
-        self.sent_version = 0
+        self.sent_version = StoreVersion()
         self.open_poll: asyncio.Timeout | None = None
         self.is_first_start = is_first_start
 
@@ -186,7 +187,7 @@
                 error=str(error),
             )
 
-    def _record_recovery(self, now: float, version: int) -> None:
+    def _record_recovery(self, now: float, version: StoreVersion) -> None:
         if self.lost_at is None:
             return
         self.registry.record_store_outage(now)
--- a/src/oriolearch/ports.py
+++ b/src/oriolearch/ports.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from oriolearch.core.versions import StoreVersion
+
 Row = Mapping[str, Any]  # JSON object of a table row
 
 LONG_POLL_GRACE_S = 2.0  # timeout of a long poll beyond its wait
@@ -124,7 +126,7 @@
     table: str
     key: str
     value: bytes | None
-    version: int
+    version: StoreVersion
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,7 +138,7 @@
     """
 
     rows: tuple[StoredRow, ...]
-    version: int
+    version: StoreVersion
 
 
 class SharedStore(Protocol):
@@ -151,21 +153,23 @@
     async def follow(
         self,
         table: str,
-        after: int,
+        after: StoreVersion,
         wait_s: float,
         grace_s: float = LONG_POLL_GRACE_S,
     ) -> TableState:
         """Wait until a table changes after a version; return the changes.
 
+        :param after: a version of the present era; one with the number 0 is
+            before all changes in any era.
         :param wait_s: the store answers after this long without a change.
         :param grace_s: the call fails this long after that.
         """
 
     async def commit(
         self,
-        conditions: Mapping[RowName, int],
+        conditions: Mapping[RowName, StoreVersion],
         writes: Mapping[RowName, bytes],
-    ) -> int:
+    ) -> StoreVersion:
         """Write rows if all conditions hold; return the new store version.
 
         :param conditions: expected version of each row.
--- a/src/oriolearch/relaying.py
+++ b/src/oriolearch/relaying.py
@@ -11,13 +11,13 @@
 from typing import Any
 
 from oriolearch.adapters.host_links import encode_line
-from oriolearch.core.versions import VersionLedger
+from oriolearch.core.versions import StoreVersion, VersionLedger
 from oriolearch.ports import StoredRow, TableState
 
 MAX_KEPT_LINES = 4  # encoded messages of one table, of up to 4 MB each
 
-OnChange = Callable[[list[StoredRow], int], None]
-Forward = Callable[[str, list[StoredRow], int], None]
+OnChange = Callable[[list[StoredRow], StoreVersion], None]
+Forward = Callable[[str, list[StoredRow], StoreVersion], None]
 
 
 class Mirror:
@@ -36,16 +36,16 @@
         self.table = table
         self.on_change = on_change
         self.rows: dict[str, StoredRow] = {}
-        self.version = 0
-        self.whole_version = 0
+        self.version = StoreVersion()
+        self.whole_version = StoreVersion()
         self.current_at = float('-inf')
         self.is_read = False
-        self.lines: dict[int, bytes] = {}
+        self.lines: dict[StoreVersion, bytes] = {}
 
     def apply(
         self,
         rows: Iterable[StoredRow],
-        version: int,
+        version: StoreVersion,
         *,
         is_whole: bool = False,
     ) -> list[StoredRow]:
@@ -68,11 +68,11 @@
             self.on_change(changed, self.version)
         return changed
 
-    def rows_since(self, version: int) -> list[StoredRow]:
+    def rows_since(self, version: StoreVersion) -> list[StoredRow]:
         """Return the rows that changed after a version."""
         return [row for row in self.rows.values() if row.version > version]
 
-    def line_since(self, version: int) -> bytes:
+    def line_since(self, version: StoreVersion) -> bytes:
         """Return an encoded message with the changes after a version.
 
         Most hosts have the same version when they connect to a new
@@ -99,7 +99,7 @@
     def _missing(
         self,
         listed: Iterable[StoredRow],
-        version: int,
+        version: StoreVersion,
     ) -> list[StoredRow]:
         keys = {row.key for row in listed}
         return [
@@ -136,7 +136,7 @@
         self.mirrors: dict[str, Mirror] = {}
         self.forward: Forward = discard_rows
         self.is_primary = False
-        self.received_versions: dict[str, int] = {}
+        self.received_versions: dict[str, StoreVersion] = {}
         self.must_poll = asyncio.Event()
         self.must_poll.set()
 
@@ -170,12 +170,13 @@
             so they need not be forwarded.
         :raises ValueError: when the message is malformed.
         """
-        table, rows, version = decode_rows(message)
+        table, rows, version = decode_rows(message, self.ledger.era)
+        self.ledger.record_era(version.era)
         mirror = self.mirrors.get(table)
         if mirror is None:
             return
         self.received_versions[table] = max(
-            self.received_versions.get(table, 0), version
+            self.received_versions.get(table, StoreVersion()), version
         )
         changed = mirror.apply(rows, version)
         self.ledger.record_changes(row.version for row in rows)
@@ -210,19 +211,22 @@
         """
         self.forward = forward
         for table, mirror in self.mirrors.items():
-            rows = mirror.rows_since(self.received_versions.get(table, 0))
+            received = self.received_versions.get(table, StoreVersion())
+            rows = mirror.rows_since(received)
             if rows:
                 forward(table, rows, mirror.version)
 
-    def lines_since(self, versions: Mapping[str, int]) -> Iterator[bytes]:
+    def lines_since(
+        self, versions: Mapping[str, StoreVersion]
+    ) -> Iterator[bytes]:
         """Yield an encoded message for each table with its later changes.
 
         :param versions: version of each table that the receiver has.
         """
         for table, mirror in self.mirrors.items():
-            yield mirror.line_since(int(versions.get(table, 0)))
+            yield mirror.line_since(versions.get(table, StoreVersion()))
 
-    def versions(self) -> dict[str, int]:
+    def versions(self) -> dict[str, StoreVersion]:
         """Return the version up to which each table is up to date."""
         return {table: mirror.version for table, mirror in self.mirrors.items()}
 
@@ -234,48 +238,85 @@
 def encode_rows(
     table: str,
     rows: Iterable[StoredRow],
-    version: int,
+    version: StoreVersion,
 ) -> dict[str, Any]:
-    """Return a ``rows`` message with changed rows."""
+    """Return a ``rows`` message with changed rows of the version's era."""
     return {
         'kind': 'rows',
         'table': table,
-        'version': version,
+        'era': version.era,
+        'version': version.number,
         'rows': [
             [
                 row.key,
                 None if row.value is None else row.value.decode('latin-1'),
-                row.version,
+                row.version.number,
             ]
             for row in rows
         ],
     }
 
 
-def decode_rows(message: dict[str, Any]) -> tuple[str, list[StoredRow], int]:
+def decode_rows(
+    message: dict[str, Any], known_era: int = 0
+) -> tuple[str, list[StoredRow], StoreVersion]:
     """Decode a ``rows`` message.
 
+    :param known_era: era of a message that names none.
     :raises ValueError: when the message is malformed.
     """
     try:
         table = str(message['table'])
+        era = int(message.get('era', known_era))
         rows = [
             StoredRow(
                 table,
                 str(key),
                 None if value is None else value.encode('latin-1'),
-                int(version),
+                StoreVersion(era, int(number)),
             )
-            for key, value, version in message['rows']
+            for key, value, number in message['rows']
         ]
-        return table, rows, int(message['version'])
+        return table, rows, StoreVersion(era, int(message['version']))
     except (LookupError, TypeError, AttributeError) as error:
         raise ValueError(f'malformed rows message: {error}') from error
 
 
+def encode_versions(versions: Mapping[str, StoreVersion]) -> dict[str, Any]:
+    """Return fields of a message that name the version of each table."""
+    return {
+        'versions': {
+            table: version.number for table, version in versions.items()
+        },
+        'eras': {table: version.era for table, version in versions.items()},
+    }
+
+
+def decode_versions(
+    message: Mapping[str, Any], known_era: int
+) -> dict[str, StoreVersion]:
+    """Decode the fields of :func:`encode_versions`.
+
+    :param known_era: era of a table for which the message names none.
+    :raises ValueError: when they are malformed.
+    """
+    try:
+        eras = dict(message.get('eras', {}))
+        return {
+            str(table): StoreVersion(
+                int(eras.get(table, known_era)), int(number)
+            )
+            for table, number in message['versions'].items()
+        }
+    except (LookupError, TypeError, AttributeError) as error:
+        raise ValueError(f'malformed versions: {error}') from error
+
+
 def _ignore_reason(reason: str) -> None:
     """Reopen no polls."""
 
 
-def discard_rows(table: str, rows: list[StoredRow], version: int) -> None:
+def discard_rows(
+    table: str, rows: list[StoredRow], version: StoreVersion
+) -> None:
     """Forward changed rows to no host."""
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -173,11 +173,25 @@
 
 
 LONG_POLL_MS = 10_000
+# Tables of the operator and the servers, who write again what a store lost.
+OUTSIDE_TABLES = frozenset(('op', 'servers'))
+
+Rows = dict[tuple[str, str], tuple[bytes | None, int]]
+
+
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """The rows of a store at some moment."""
+
+    rows: Rows
+    version: int
 
 
 class Store(Server):
     """The platform's store, with switches for faults.
 
+    :ivar era: rises when the store comes back from a copy; ``None`` if its
+        answers do not name it.
     :ivar oldest: oldest version from which changes can be followed.
     :ivar is_down: every call is answered with status 503.
     :ivar is_closing: the connection of every call is closed unanswered.
@@ -191,8 +205,9 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.rows: dict[tuple[str, str], tuple[bytes | None, int]] = {}
+        self.rows: Rows = {}
         self.version = 1
+        self.era: int | None = None
         self.oldest = 0
         self.is_down = False
         self.is_closing = False
@@ -201,6 +216,7 @@
         self.silent_at = float('-inf')
         self.is_silent = False
         self.changed = asyncio.Event()
+        self.lost_rows: dict[tuple[str, str], bytes | None] = {}
         self.calls: list[str] = []
         self.polls: list[str] = []
 
@@ -221,11 +237,39 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def copy(self) -> StoreCopy:
+        return StoreCopy(dict(self.rows), self.version)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy; :meth:`refill` writes what others lost."""
+        self.lost_rows = {
+            name: value
+            for name, (value, version) in self.rows.items()
+            if name[0] in OUTSIDE_TABLES
+            and copy.rows.get(name) != (value, version)
+        }
+        self.rows = dict(copy.rows)
+        self.version = copy.version
+        self.era = (self.era or 0) + 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def refill(self) -> None:
+        """Write what the operator and the servers wrote since the copy."""
+        for name, value in self.lost_rows.items():
+            self.write({name: value})
+        self.lost_rows = {}
+
     def swallow_long_polls(self) -> None:
         """Never answer the long polls that are open now; serve all others."""
         self.silent_at = asyncio.get_running_loop().time()
 
     async def handle(self, request: Request) -> Answer:
+        status, headers, body = await self.answer(request)
+        named = {} if self.era is None else {'Store-Era': str(self.era)}
+        return status, {**headers, **named}, body
+
+    async def answer(self, request: Request) -> Answer:
         parts = urlsplit(request.target)
         self.calls.append(parts.path)
         if self.is_silent:
@@ -258,17 +302,20 @@
         self.polls.append(query['table'])
         sent_at = asyncio.get_running_loop().time()
         after = int(query['after'])
-        if after < self.oldest:
+        if not self.oldest <= after <= self.version:
             return 410, {}, b''
+        era = self.era
         with suppress(TimeoutError):
             async with asyncio.timeout(int(query['wait_ms']) / 1000):
-                while not self.newer(query['table'], after):
+                while era == self.era and not self.newer(query['table'], after):
                     await self.changed.wait()
         is_long = int(query['wait_ms']) >= LONG_POLL_MS
         if self.is_silent or (is_long and sent_at <= self.silent_at):
             await asyncio.Event().wait()
         if self.is_down:
             return 503, {}, b''
+        if era != self.era:
+            raise ConnectionError
         return self.reply(rows=self.newer(query['table'], after))
 
     async def commit(self, call: dict[str, Any]) -> Answer:
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -3,6 +3,7 @@
 import pytest
 
 from oriolearch.adapters.host_links import decode_line
+from oriolearch.core.versions import StoreVersion
 from oriolearch.ports import StoredRow, TableState
 from oriolearch.relaying import (
     Relay,
@@ -14,8 +15,14 @@
 TABLE = 'servers'
 
 
-def row(key: str, version: int, value: bytes | None = b'x') -> StoredRow:
-    return StoredRow(TABLE, key, value, version)
+def at(number: int, era: int = 0) -> StoreVersion:
+    return StoreVersion(era, number)
+
+
+def row(
+    key: str, number: int, value: bytes | None = b'x', era: int = 0
+) -> StoredRow:
+    return StoredRow(TABLE, key, value, at(number, era))
 
 
 class RecordingRelay:
@@ -28,12 +35,14 @@
         self.relay.add(TABLE, self.apply)
         self.relay.forward = self.forward
 
-    def apply(self, rows: list[StoredRow], version: int) -> None:
+    def apply(self, rows: list[StoredRow], version: StoreVersion) -> None:
         self.applied.extend(
             (changed.key, changed.value is None) for changed in rows
         )
 
-    def forward(self, table: str, rows: list[StoredRow], version: int) -> None:
+    def forward(
+        self, table: str, rows: list[StoredRow], version: StoreVersion
+    ) -> None:
         self.sent.extend(changed.key for changed in rows)
 
     def read(
@@ -41,12 +50,13 @@
         *rows: StoredRow,
         version: int,
         is_whole: bool = False,
+        era: int = 0,
     ) -> None:
-        state = TableState(rows, version)
+        state = TableState(rows, at(version, era))
         self.relay.read(TABLE, state, is_whole=is_whole)
 
-    def receive(self, *rows: StoredRow, version: int) -> None:
-        self.relay.receive(encode_rows(TABLE, rows, version))
+    def receive(self, *rows: StoredRow, version: int, era: int = 0) -> None:
+        self.relay.receive(encode_rows(TABLE, rows, at(version, era)))
 
 
 def test_changes_are_applied_and_forwarded_once() -> None:
@@ -57,7 +67,7 @@
         host.receive(row('b', 2), row('c', 3), version=3)
     assert host.applied == [('a', False), ('b', False), ('c', False)]
     assert host.sent == ['a', 'b', 'c']
-    assert host.relay.versions() == {TABLE: 3}
+    assert host.relay.versions() == {TABLE: at(3)}
 
 
 @pytest.mark.parametrize(
@@ -79,7 +89,7 @@
     """
     host = RecordingRelay()
     host.read(row('a', 1), version=100, is_whole=True)
-    host.receive(sent, version=sent.version)
+    host.receive(sent, version=sent.version.number)
     assert host.applied == [('a', False), ('b', False)][: 1 + is_applied]
     assert host.sent == ['a', 'b'][: 1 + is_applied]
 
@@ -91,7 +101,7 @@
     host.receive(row('a', 5, None), version=5)
     host.receive(row('a', 4), version=4)
     assert host.applied == [('a', False), ('a', True)]
-    assert host.relay.versions() == {TABLE: 5}
+    assert host.relay.versions() == {TABLE: at(5)}
 
 
 def test_rows_missing_from_a_whole_table_are_removed() -> None:
@@ -117,14 +127,18 @@
     host = RecordingRelay()
     host.read(row('a', 1), row('b', 2), version=2, is_whole=True)
     host.receive(row('a', 7, None), version=7)
-    late = host.relay.mirrors[TABLE].rows_since(2)
+    late = host.relay.mirrors[TABLE].rows_since(at(2))
     assert [(changed.key, changed.value) for changed in late] == [('a', None)]
 
 
 def test_rows_survive_the_message() -> None:
     """Values may contain bytes that are not valid UTF-8."""
     rows = [row('a', 1, bytes(range(256))), row('b', 2, None)]
-    assert decode_rows(encode_rows(TABLE, rows, 5)) == (TABLE, rows, 5)
+    assert decode_rows(encode_rows(TABLE, rows, at(5))) == (
+        TABLE,
+        rows,
+        at(5),
+    )
 
 
 @pytest.mark.parametrize(
@@ -157,11 +171,11 @@
     recorder = RecordingRelay()
     recorder.relay.forward = discard_rows
     rows = [row('known', 5)]
-    recorder.relay.receive(encode_rows(TABLE, rows, 5))
+    recorder.relay.receive(encode_rows(TABLE, rows, at(5)))
     if has_new_coordinator:
-        recorder.relay.receive(encode_rows(TABLE, [row('new', 6)], 6))
+        recorder.relay.receive(encode_rows(TABLE, [row('new', 6)], at(6)))
         recorder.relay.start_receiving()
-        recorder.relay.receive(encode_rows(TABLE, [], 5))
+        recorder.relay.receive(encode_rows(TABLE, [], at(5)))
     recorder.read(row('known', 5), row('new', 6), version=6)
     recorder.relay.start_forwarding(recorder.forward)
     assert recorder.sent == ['new']
@@ -171,10 +185,10 @@
     """Encoding a large table for each host would delay heartbeats."""
     host = RecordingRelay()
     host.read(row('a', 1), row('b', 2), version=2)
-    first = next(host.relay.lines_since({TABLE: 1}))
-    assert next(host.relay.lines_since({TABLE: 1})) is first
+    first = next(host.relay.lines_since({TABLE: at(1)}))
+    assert next(host.relay.lines_since({TABLE: at(1)})) is first
     assert [sent.key for sent in decode_rows(decode_line(first))[1]] == ['b']
     host.read(row('c', 3), version=3)
-    later = next(host.relay.lines_since({TABLE: 1}))
+    later = next(host.relay.lines_since({TABLE: at(1)}))
     _, rows, version = decode_rows(decode_line(later))
-    assert ([sent.key for sent in rows], version) == (['b', 'c'], 3)
+    assert ([sent.key for sent in rows], version) == (['b', 'c'], at(3))
