Read all tables anew when the store came back from a copy

Cause: the mirror of a table dropped each row whose version was not above that of the same row read before. The store had given the new row's number out before.

A mirror keeps its rows in a new era below any that the store names there, so that all rows it has are of one era and can be sent in one message. The copy lacks what the operator and the servers wrote since, and they write it again within moments: for 2 s a missing row does not count as removed, and a removal that the copy lacks stays. After it the tables are read once more.

--- a/src/oriolearch/polling.py
+++ b/src/oriolearch/polling.py
@@ -12,7 +12,7 @@
 from oriolearch.core.errors import HistoryLostError, PlatformError
 from oriolearch.core.versions import StoreVersion
 from oriolearch.eventlog import Event, EventLog
-from oriolearch.ports import SharedStore, TableState
+from oriolearch.ports import LONG_POLL_GRACE_S, SharedStore, TableState
 from oriolearch.registry import Registry
 from oriolearch.relaying import Mirror, Relay
 
@@ -147,7 +147,11 @@
         return True
 
     async def _read_next(self) -> None:
-        is_whole = self.is_history_lost or not self.mirror.is_read
+        is_whole = (
+            self.is_history_lost
+            or not self.mirror.is_read
+            or self._is_refill_over()
+        )
         if is_whole:
             state = await self.store.read(self.table)
         else:
@@ -156,24 +160,39 @@
         self.mirror.current_at = loop_clock()
         self.relay.read(self.table, state, is_whole=is_whole)
 
+    def _is_refill_over(self) -> bool:
+        """Return whether rows that are still missing have been removed."""
+        ends_at = self.mirror.refill_ends_at
+        return ends_at is not None and loop_clock() >= ends_at
+
+    def _wait_s(self) -> float:
+        """Return how long the store may wait for a change."""
+        if self.is_in_doubt or self.relay.is_store_in_doubt:
+            return SHORT_POLL_S
+        is_served = self.relay.is_primary or self.relay.is_watcher
+        wait_s = LONG_POLL_S if is_served else FALLBACK_POLL_S
+        ends_at = self.mirror.refill_ends_at
+        if ends_at is None:
+            return wait_s
+        return min(wait_s, max(ends_at - loop_clock(), 0))
+
     async def _follow(self) -> TableState:
         """Wait for changes.
 
         :raises TimeoutError: when the poll is to be reopened.
         """
         after = self.mirror.version
-        is_served = self.relay.is_primary or self.relay.is_watcher
+        wait_s = self._wait_s()
+        is_short = wait_s <= SHORT_POLL_S
+        grace_s = SHORT_POLL_GRACE_S if is_short else LONG_POLL_GRACE_S
         self.sent_at = loop_clock()
         self.sent_version = self.relay.ledger.newest
         try:
             async with asyncio.timeout(None) as open_poll:
                 self.open_poll = open_poll
-                if self.is_in_doubt or self.relay.is_store_in_doubt:
-                    return await self.store.follow(
-                        self.table, after, SHORT_POLL_S, SHORT_POLL_GRACE_S
-                    )
-                wait_s = LONG_POLL_S if is_served else FALLBACK_POLL_S
-                return await self.store.follow(self.table, after, wait_s)
+                return await self.store.follow(
+                    self.table, after, wait_s, grace_s
+                )
         finally:
             self.open_poll = None
 
--- a/src/oriolearch/relaying.py
+++ b/src/oriolearch/relaying.py
@@ -8,12 +8,18 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import replace
 from typing import Any
 
 from oriolearch.adapters.host_links import encode_line
+from oriolearch.clock import loop_clock
 from oriolearch.core.versions import StoreVersion, VersionLedger
 from oriolearch.ports import StoredRow, TableState
 
+# After the store came back from an earlier copy, the operator and the servers
+# write their rows again within this time. A row that is missing until then has
+# not been removed.
+REFILL_S = 2.0
 MAX_KEPT_LINES = 4  # encoded messages of one table, of up to 4 MB each
 
 OnChange = Callable[[list[StoredRow], StoreVersion], None]
@@ -23,8 +29,15 @@
 class Mirror:
     """A local copy of one table.
 
+    All rows are of the same era of the store. Those that were read in an
+    earlier one have the number 0 until the store names them again.
+
     :param on_change: called with changed rows and the table's version.
     :ivar rows: rows by key; removed rows stay, without a value.
+    :ivar removed_numbers: by key, numbers of removals in the era before.
+    :ivar refill_ends_at: until when rows may be missing after the store came
+        back from an earlier copy, in seconds; ``None`` once the table has been
+        read after that.
     :ivar version: all changes up to this version have been applied.
     :ivar whole_version: version of the last read of the whole table.
     :ivar current_at: when this copy last was known to be up to date, in
@@ -36,6 +49,8 @@
         self.table = table
         self.on_change = on_change
         self.rows: dict[str, StoredRow] = {}
+        self.removed_numbers: dict[str, int] = {}
+        self.refill_ends_at: float | None = None
         self.version = StoreVersion()
         self.whole_version = StoreVersion()
         self.current_at = float('-inf')
@@ -53,11 +68,15 @@
 
         :param is_whole: rows that are not listed were removed.
         """
+        if version.era > self.version.era and self.is_read:
+            self._begin_era(version.era)
         listed = list(rows)
-        if is_whole:
+        if is_whole and not self.is_refilling():
+            self.refill_ends_at = None
             listed.extend(self._missing(listed, version))
-        changed = [row for row in listed if self._is_newer(row)]
-        for row in changed:
+        newer = [row for row in listed if self._is_newer(row)]
+        changed = [row for row in newer if not self._is_written_again(row)]
+        for row in newer:
             self.rows[row.key] = row
         if is_whole:
             self.whole_version = max(self.whole_version, version)
@@ -68,6 +87,26 @@
             self.on_change(changed, self.version)
         return changed
 
+    def is_refilling(self) -> bool:
+        """Return whether rows may be missing that were not removed."""
+        if self.refill_ends_at is None:
+            return False
+        return loop_clock() < self.refill_ends_at
+
+    def _begin_era(self, era: int) -> None:
+        """Keep all rows, below any that the store names in a new era."""
+        self.removed_numbers = {
+            row.key: row.version.number
+            for row in self.rows.values()
+            if row.value is None
+        }
+        self.version = self.whole_version = StoreVersion(era)
+        self.rows = {
+            key: replace(row, version=self.version)
+            for key, row in self.rows.items()
+        }
+        self.refill_ends_at = loop_clock() + REFILL_S
+
     def rows_since(self, version: StoreVersion) -> list[StoredRow]:
         """Return the rows that changed after a version."""
         return [row for row in self.rows.values() if row.version > version]
@@ -91,11 +130,27 @@
     def _is_newer(self, row: StoredRow) -> bool:
         present = self.rows.get(row.key)
         if present is not None:
+            if self._is_removed_before(row, present):
+                return False
             return row.version > present.version
         # A row that the whole table did not list at its version or a later one
         # had been removed by then. A host that lags behind may still send it.
         return row.value is not None and row.version > self.whole_version
 
+    def _is_removed_before(self, row: StoredRow, present: StoredRow) -> bool:
+        """Return whether the copy has a row that was removed after it."""
+        if present.value is not None or present.version.number:
+            return False
+        removed_number = self.removed_numbers.get(row.key, 0)
+        return row.version.number < removed_number and self.is_refilling()
+
+    def _is_written_again(self, row: StoredRow) -> bool:
+        """Return whether a row has the value that it had in the era before."""
+        present = self.rows.get(row.key)
+        if present is None or present.version.number:
+            return False
+        return row.value == present.value
+
     def _missing(
         self,
         listed: Iterable[StoredRow],
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -1,11 +1,15 @@
 """Tables that hosts relay to each other, without a network."""
 
+import asyncio
+from collections.abc import Callable
+
 import pytest
 
 from oriolearch.adapters.host_links import decode_line
 from oriolearch.core.versions import StoreVersion
 from oriolearch.ports import StoredRow, TableState
 from oriolearch.relaying import (
+    REFILL_S,
     Relay,
     decode_rows,
     discard_rows,
@@ -192,3 +196,110 @@
     later = next(host.relay.lines_since({TABLE: at(1)}))
     _, rows, version = decode_rows(decode_line(later))
     assert ([sent.key for sent in rows], version) == (['b', 'c'], at(3))
+
+
+class RestoredHost(RecordingRelay):
+    """A host whose store comes back from an earlier copy.
+
+    It knew row ``kept``, a removal of ``gone`` and a change of ``changed``.
+    The copy has all of them as they were before, and lacks ``added``.
+    """
+
+    COPY = (
+        row('kept', 1, era=2),
+        row('gone', 2, era=2),
+        row('changed', 3, b'old', era=2),
+    )
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.read(row('kept', 1), row('gone', 2), version=2)
+        self.read(row('changed', 3, b'old'), version=3)
+        self.read(row('added', 6), row('gone', 7, None), version=7)
+        self.read(row('changed', 8, b'new'), version=8)
+        self.applied.clear()
+        self.sent.clear()
+
+    def read_copy(self, *rows: StoredRow, version: int = 3) -> None:
+        self.read(*rows, version=version, is_whole=True, era=2)
+
+
+def refill(host: RestoredHost) -> None:
+    host.read(row('added', 4, era=2), version=4, era=2)
+
+
+def change(host: RestoredHost) -> None:
+    host.read(row('added', 4, b'y', era=2), version=4, era=2)
+
+
+def read_late(host: RestoredHost) -> None:
+    """Read the table once the operator and the servers had time to write."""
+    mirror = host.relay.mirrors[TABLE]
+    assert mirror.refill_ends_at is not None
+    mirror.refill_ends_at -= REFILL_S
+    host.read_copy(*host.COPY, version=4)
+
+
+def hear_old_row(host: RestoredHost) -> None:
+    host.receive(row('kept', 9, b'late'), row('new', 9), version=9)
+
+
+@pytest.mark.parametrize(
+    ('event', 'applied'),
+    [
+        pytest.param(None, [], id='nothing is removed at once'),
+        pytest.param(refill, [], id='written again'),
+        pytest.param(change, [('added', False)], id='changed'),
+        pytest.param(
+            read_late, [('gone', False), ('added', True)], id='still missing'
+        ),
+        pytest.param(hear_old_row, [], id='host that lags behind'),
+    ],
+)
+def test_rows_that_a_restored_store_lacks(
+    event: Callable[[RestoredHost], None] | None,
+    applied: list[tuple[str, bool]],
+) -> None:
+    """Guard against a zone or an upstream that is back in use for a moment.
+
+    A copy of the store lacks what the operator and the servers wrote since,
+    until they write it again.
+    """
+
+    async def run() -> None:
+        host = RestoredHost()
+        host.read_copy(*host.COPY)
+        assert host.applied == [('changed', False)]
+        host.applied.clear()
+        if event is not None:
+            event(host)
+        assert host.applied == applied
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('number', [3, 8, 9])
+def test_row_of_a_new_era_is_applied_whatever_its_number(number: int) -> None:
+    """Guard against a configuration that is ignored for good (CONFIG).
+
+    The store had given the number of its row to an earlier one before it came
+    back from a copy of before that.
+    """
+
+    async def run() -> None:
+        host = RestoredHost()
+        host.receive(
+            row('changed', number, b'newest', era=2), version=number, era=2
+        )
+        assert host.applied == [('changed', False)]
+        assert host.sent == ['changed']
+        assert host.relay.versions() == {TABLE: at(number, 2)}
+        late = host.relay.mirrors[TABLE].rows_since(at(9))
+        assert {changed.key for changed in late} == {
+            'kept',
+            'gone',
+            'changed',
+            'added',
+        }
+
+    asyncio.run(run())
