Write the coordinator's rows again in a new era of the store

Cause: rows did not say in which era they were written. A restarted host took the copy's row, which named its own earlier run, for the latest one. Running hosts ignored the copy's row for its lower version, and made their takeovers conditional on a version that the store no longer had. The coordinator took a failed condition for its replacement, and counted any read of the row's table as a confirmation.

Ruled out: that the fencing tokens alone keep the servers apart.

Change: rows carry their era. The coordinator writes its row and its witnesses again once a majority of its witnesses has acknowledged it in the new era, and until the longest authority has passed only those witnesses extend its authority. A host that would take over on a row of an earlier era first lets a coordinator write again, asks the others whom they follow, and then takes a term above all lost ones. This works since a successor whose takeover was lost acts only on promises of the same witnesses, of which a majority can follow one of both only.

A host that starts for the first time writes its row twice, as it does not know the era before.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import Any
 
@@ -15,6 +15,7 @@
     COORDINATOR_TABLE,
     MAX_EARLIER_TERMS,
     OWNER_TABLE,
+    WITNESS_ROW,
     CoordinatorRow,
     decode_coordinator,
     read_owners,
@@ -32,7 +33,12 @@
 from oriolearch.core.keyranges import OwnedRange
 from oriolearch.core.notices import NoticeChannel
 from oriolearch.core.versions import ABSENT, StoreVersion
-from oriolearch.core.witnesses import Promise
+from oriolearch.core.witnesses import (
+    LONG_AGO,
+    LONG_AUTHORITY_S,
+    Promise,
+    decode_witnesses,
+)
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.forwarding import Forwarder
 from oriolearch.granting import GrantPort
@@ -67,6 +73,7 @@
     describe_upstreams,
     refs_with_recent_requests,
 )
+from oriolearch.restoring import Restoration
 from oriolearch.succession import ANSWER_TIMEOUT_S, Succession, ask
 from oriolearch.supervision import keep_running, log_task_failure
 
@@ -104,6 +111,12 @@
 COORDINATOR_POLL_GRACE_S = 0.4  # a slow store takes 0.2 s
 CONFIRM_PERIOD_S = 0.4  # between checks of the coordinator's authority
 STORE_RETRY_S = 0.25  # after a failed call of the store
+# A coordinator whose row the store has lost notices that, and writes it again,
+# within this time.
+RESTORE_TIME_S = 2.0
+# Terms that a store may have lost when it comes back from a copy some seconds
+# old, at most. A new term is above all of them.
+MAX_LOST_TERMS = 1000
 # Between takeover attempts while the store does not answer.
 MAX_STORE_BACKOFF_S = 1.5
 # Between attempts to replace a coordinator that cannot write to the store.
@@ -111,10 +124,28 @@
 OWNERS_PERIOD_S = 1.0  # minimum time between reads of the owners
 
 
+@dataclass(frozen=True, slots=True)
+class Takeover:
+    """An attempt to become the coordinator.
+
+    :param began_at: when the row was sent to the store, in seconds.
+    :param lost_over_at: by then, earlier terms are over whose rows the store
+        may have lost.
+    """
+
+    row: CoordinatorRow
+    predecessor: CoordinatorRow | None
+    began_at: float
+    lost_over_at: float
+
+
 class Coordination:
     """Finds the coordinator, reports to it, and replaces it when needed.
 
-    :ivar row: the last coordinator row that this host received.
+    :ivar row: the coordinator row that this host follows.
+    :ivar stored_row: the coordinator row of the store, which may be an earlier
+        one after the store came back from a copy; ``None`` if unreadable.
+    :ivar row_version: version of that row in the store.
     :ivar leadership: this host's own term, if it is the coordinator.
     :ivar host_count: number of hosts that dispatch requests, with this one.
     :ivar granting_contact_at: time of the last message of a coordinator that
@@ -149,7 +180,9 @@
         self.log = log
         self.rng = rng
         self.row: CoordinatorRow | None = None
+        self.stored_row: CoordinatorRow | None = None
         self.row_version = ABSENT
+        self.is_store_restored = False
         self.is_first_start = identity.is_first_start
         self.has_read_coordinator_row = False
         self.leadership: Leadership | None = None
@@ -276,12 +309,52 @@
     def _record_era(self, is_restored: bool) -> None:
         """Read all tables anew if the store came back from an earlier copy."""
         self.era_seen_at = lease_clock()
+        if self.leadership is not None:
+            self._restore_rows(self.leadership)
         if not is_restored:
             return
+        self.is_store_restored = True
         self.log.emit(Event.STORE_RESTORED, era=self.relay.ledger.era)
         self.registry.record_store_outage(loop_clock())
         self.relay.reopen_polls('the store came back from an earlier copy')
 
+    def _restore_rows(self, leadership: Leadership) -> None:
+        """Write the rows of this host's term again in the present era."""
+        is_running = leadership.is_restoring
+        leadership.begin_restoring(lease_clock())
+        if not is_running:
+            restoration = Restoration(
+                leadership, self, self.store, self.relay.ledger, self.log
+            )
+            self.spawn_lasting('restoration', restoration.run)
+
+    def is_row_restored(self) -> bool:
+        """Return whether the store may have lost the row of a later term.
+
+        A process that has just started sees no change of the era. The era in
+        the row tells it that the row was written in an earlier one.
+        """
+        if self.stored_row is not None:
+            return self.stored_row.era < self.relay.ledger.era
+        if self.is_store_restored:
+            return True
+        return self.relay.ledger.era > 0 and not self.is_first_start
+
+    async def read_coordinator_row(self) -> None:
+        """Read the coordinator row; end the term if another host took over.
+
+        :raises PlatformError: when it cannot be read.
+        """
+        self._apply_table(await self.store.read(COORDINATOR_TABLE))
+
+    def record_own_row(
+        self, row: CoordinatorRow, version: StoreVersion
+    ) -> None:
+        """Record that the row of this host's term was written."""
+        self.row = row
+        self.stored_row = row
+        self.row_version = version
+
     def is_store_lost(self) -> bool:
         """Return whether the store does not answer the coordinator."""
         if self.leadership is not None:
@@ -326,16 +399,24 @@
         sent_at = lease_clock()
         if after is None:
             state = await self.store.read(COORDINATOR_TABLE)
+            self._apply_table(state)
         else:
             state = await self.store.follow(
                 COORDINATOR_TABLE, after, wait_s, grace_s
             )
-        self._apply_rows(state)
+            self._apply_rows(state)
         self.has_read_coordinator_row = True
-        if self.leadership is not None:
+        if self.leadership is not None and self._names(self.leadership, state):
             self.leadership.authority.record_confirmation(sent_at)
         return state.version
 
+    def _names(self, leadership: Leadership, state: TableState) -> bool:
+        """Return whether an answer of the store confirms this host's term."""
+        if self.stored_row is None or self.is_row_restored():
+            return False
+        is_own = self.stored_row.is_same_term(leadership.row)
+        return is_own and self.row_version.era == state.version.era
+
     async def _confirm_authority(self, leadership: Leadership) -> None:
         """Confirm the authority at the store when the witnesses do not."""
         while not leadership.is_over:
@@ -347,6 +428,14 @@
                         None, STORE_POLL_S, LONG_POLL_GRACE_S
                     )
 
+    def _apply_table(self, state: TableState) -> None:
+        """Apply the whole table, which may lack the coordinator row."""
+        empty = StoreVersion(state.version.era)
+        if not state.rows and empty > self.row_version:
+            self.row_version = empty
+            self.stored_row = None
+        self._apply_rows(state)
+
     def _apply_rows(self, state: TableState) -> None:
         for row in state.rows:
             if (
@@ -357,15 +446,21 @@
         leadership = self.leadership
         if leadership is None or leadership.row_version >= self.row_version:
             return
-        if self.row is not None and self.row.is_same_term(leadership.row):
+        if self.is_row_restored():
+            return  # the rows of this term are being written again
+        stored = self.stored_row
+        if stored is not None and stored.is_same_term(leadership.row):
             leadership.row_version = self.row_version
         else:
             self.end_term('another host took over')
 
     def _apply_coordinator_row(self, row: StoredRow) -> None:
         self.row_version = row.version
-        self.row = decode_coordinator(row)
+        self.stored_row = decode_coordinator(row)
         self.failed_connects = 0
+        if self._is_followed_already():
+            return
+        self.row = self.stored_row
         if self.row is not None:
             self.log.emit(
                 Event.COORDINATOR_FOUND,
@@ -374,6 +469,19 @@
                 row_version=row.version,
             )
 
+    def _is_followed_already(self) -> bool:
+        """Return whether the stored row names nobody new to follow."""
+        stored = self.stored_row
+        if self.row is None:
+            return False
+        if self.is_row_restored():
+            return stored is None or stored.term <= self.row.term
+        return (
+            stored is not None
+            and stored.is_same_term(self.row)
+            and stored.is_leaving == self.row.is_leaving
+        )
+
     async def run(self) -> None:
         """Follow the coordinator, or replace it when it is lost."""
         if not self.is_first_start:
@@ -555,9 +663,8 @@
     def _handle_hint(self, message: Message) -> None:
         kind = message.get('kind')
         if kind == 'yield' and not self.is_stopping:
-            self.spawn(
-                self.try_takeover('the coordinator has too little capacity')
-            )
+            reason = 'the coordinator has too little capacity'
+            self.spawn(self.try_takeover(reason, is_requested=True))
         elif kind == 'cold':
             self.registry.record_cold(
                 loop_clock(),
@@ -644,7 +751,8 @@
             self.next_stuck_takeover_at = now + STUCK_TAKEOVER_PERIOD_S * (
                 1 + self.rng.random()
             )
-            self.spawn(self.try_takeover('the coordinator cannot write'))
+            reason = 'the coordinator cannot write'
+            self.spawn(self.try_takeover(reason, is_requested=True))
 
     def _apply_hosts(self, message: Message) -> None:
         hosts = message.get('hosts')
@@ -824,8 +932,13 @@
             return self.leadership.has_authority()
         return lease_clock() - self.granting_contact_at < CONTACT_TIMEOUT_S
 
-    async def try_takeover(self, reason: str) -> None:
-        """Try to become the coordinator."""
+    async def try_takeover(
+        self, reason: str, *, is_requested: bool = False
+    ) -> None:
+        """Try to become the coordinator.
+
+        :param is_requested: the present coordinator wants to be replaced.
+        """
         seen_version = self.row_version
         predecessor = self.row
         # Hosts with more capacity try first: a coordinator sends all changes
@@ -834,16 +947,85 @@
         await asyncio.sleep(min(delay_s / self.capacity, MAX_TAKEOVER_DELAY_S))
         if self.row_version != seen_version:
             return
+        if self.is_row_restored() and not is_requested:
+            delay_reason = await self._takeover_delay_reason()
+            if self.row_version != seen_version:
+                return
+            if delay_reason:
+                self._log_delayed_takeover(delay_reason)
+                await asyncio.sleep(STORE_RETRY_S)
+                return
         self.open_takeovers += 1
         try:
             await self._take_over(reason, predecessor)
         finally:
             self.open_takeovers -= 1
 
+    def _log_delayed_takeover(self, reason: str) -> None:
+        self.log.emit(
+            Event.TAKEOVER_DELAYED,
+            reason=reason,
+            row_version=self.row_version,
+            era=self.relay.ledger.era,
+        )
+
+    async def _takeover_delay_reason(self) -> str:
+        """Return why this host has to wait for a coordinator, or nothing.
+
+        The store may have lost the row of a later coordinator. While other
+        hosts follow one, it writes its row again.
+        """
+        try:
+            await self.read_coordinator_row()
+            witnesses = await self.store.read(WITNESS_ROW.table)
+        except PlatformError:
+            return 'the store does not answer'
+        if lease_clock() < self.era_seen_at + RESTORE_TIME_S:
+            return 'a coordinator may write its row again'
+        addresses = {
+            *self.peers,
+            *(
+                witness.address
+                for row in witnesses.rows
+                for witness in decode_witnesses(row.value).witnesses
+            ),
+        }
+        terms = await asyncio.gather(
+            *(self._ask_term(host) for host in addresses - {self.address})
+        )
+        return 'other hosts follow a coordinator' if any(terms) else ''
+
+    async def _ask_term(self, host: str) -> int:
+        """Return the term of the coordinator that another host hears, or 0."""
+        try:
+            answer = await ask(host, {'kind': 'ask'})
+        except PeerError:
+            return 0
+        term = answer.get('hears')
+        return term if isinstance(term, int) else 0
+
+    def _lost_over_at(self) -> float:
+        """Return by when terms are over whose rows the store may have lost.
+
+        The store has confirmed none of them in its present era.
+        """
+        if self.is_row_restored():
+            return self.era_seen_at + LONG_AUTHORITY_S
+        return LONG_AGO
+
+    def _next_term(self) -> int:
+        """Return a term above all earlier ones, also those that are lost."""
+        terms = [row.term for row in (self.row, self.stored_row) if row]
+        if not self.is_row_restored():
+            return max(terms, default=0) + 1
+        stored_era = self.stored_row.era if self.stored_row else 0
+        lost_eras = self.relay.ledger.era - stored_era
+        return max(terms, default=0) + 1 + MAX_LOST_TERMS * lost_eras
+
     async def _take_over(
         self, reason: str, predecessor: CoordinatorRow | None
     ) -> None:
-        term = self.row.term + 1 if self.row else 1
+        term = self._next_term()
         earlier = predecessor.known_terms() if predecessor else ()
         row = CoordinatorRow(
             self.host,
@@ -851,9 +1033,12 @@
             term,
             self.nonce,
             earlier=earlier[:MAX_EARLIER_TERMS],
+            era=self.relay.ledger.era,
+        )
+        attempt = Takeover(
+            row, predecessor, lease_clock(), self._lost_over_at()
         )
         outcome = 'won'
-        began_at = lease_clock()
         try:
             version = await self.store.commit(
                 {COORDINATOR_ROW: self.row_version},
@@ -873,20 +1058,15 @@
         )
         if outcome == 'won':
             self.store_backoff_s = STORE_RETRY_S
-            self._begin_term(row, version, began_at, predecessor)
+            self._begin_term(attempt, version)
         else:
-            await self._resolve_takeover(row, began_at, predecessor)
+            await self._resolve_takeover(attempt)
 
-    async def _resolve_takeover(
-        self,
-        attempted: CoordinatorRow,
-        began_at: float,
-        predecessor: CoordinatorRow | None,
-    ) -> None:
+    async def _resolve_takeover(self, attempt: Takeover) -> None:
         """Read the coordinator row after a takeover that may have failed."""
         await asyncio.sleep(STORE_RETRY_S)
         try:
-            state = await self.store.read(COORDINATOR_TABLE)
+            await self.read_coordinator_row()
         except PlatformError:
             await asyncio.sleep(self.store_backoff_s)
             self.store_backoff_s = min(
@@ -894,22 +1074,16 @@
             )
             return
         self.store_backoff_s = STORE_RETRY_S
-        self._apply_rows(state)
-        if self.row == attempted and self.leadership is None:
-            self._begin_term(
-                attempted,
-                self.row_version,
-                began_at,
-                predecessor,
-            )
-
-    def _begin_term(
-        self,
-        row: CoordinatorRow,
-        version: StoreVersion,
-        began_at: float,
-        predecessor: CoordinatorRow | None,
-    ) -> None:
+        if self.stored_row != attempt.row or self.leadership is not None:
+            return
+        if self.is_store_restored:
+            # The era may have changed after the attempt began.
+            lost_over_at = max(attempt.lost_over_at, self._lost_over_at())
+            attempt = replace(attempt, lost_over_at=lost_over_at)
+        self._begin_term(attempt, self.row_version)
+
+    def _begin_term(self, attempt: Takeover, version: StoreVersion) -> None:
+        row, predecessor = attempt.row, attempt.predecessor
         if self.row_version > version:
             return
         if self.leadership is not None and self.leadership.row == row:
@@ -922,8 +1096,7 @@
             # A successor asked for this term's end before its begin.
             self._log_abandoned_term(row, 'another host took over')
             return
-        self.row = row
-        self.row_version = version
+        self.record_own_row(row, version)
         leadership = Leadership(
             row,
             version,
@@ -934,10 +1107,14 @@
             self,
             Member(self.address, self.zone, self.capacity, self.nonce),
         )
-        leadership.authority.record_confirmation(began_at)
+        leadership.authority.record_confirmation(attempt.began_at)
         if predecessor is None:
-            leadership.limit_predecessor(leadership.began_at)
-        succession = Succession(leadership, predecessor, self.log)
+            leadership.limit_predecessor(
+                max(leadership.began_at, attempt.lost_over_at)
+            )
+        succession = Succession(
+            leadership, predecessor, self.log, attempt.lost_over_at
+        )
         self.leadership = leadership
         self._set_cut_off(False)
         self.forwarder.lapsed_leases.clear()
@@ -959,6 +1136,9 @@
             ('local report', partial(self._report_locally, leadership)),
         ):
             self.spawn_lasting(name, start)
+        if self.is_row_restored():
+            # The era was not known, or changed, when the row was written.
+            self._restore_rows(leadership)
 
     def _log_abandoned_term(self, row: CoordinatorRow, reason: str) -> None:
         self.log.emit(
@@ -996,6 +1176,8 @@
         value = str(message['row']).encode()
         name = COORDINATOR_ROW
         era = int(message.get('era', self.relay.ledger.era))
+        if era:
+            self.relay.ledger.record_era(era)
         version = StoreVersion(era, int(message['version']))
         row = StoredRow(name.table, name.key, value, version)
         self._apply_rows(TableState((row,), row.version))
--- a/src/oriolearch/coordinator_rows.py
+++ b/src/oriolearch/coordinator_rows.py
@@ -32,6 +32,8 @@
 class CoordinatorRow:
     """The row that names the coordinator.
 
+    :param era: era of the store in which the row was written. In a later one,
+        the store has come back from a copy and may have lost later terms.
     :param is_leaving: the coordinator's host is shutting down, and coordinates
         until another host takes over.
     :param earlier: rows of the terms just before, newest first and without
@@ -45,6 +47,7 @@
     nonce: str
     is_leaving: bool = False
     earlier: tuple['CoordinatorRow', ...] = ()
+    era: int = 0
 
     def encode(self) -> bytes:
         """Return the row's value."""
@@ -55,6 +58,7 @@
                 'term': self.term,
                 'nonce': self.nonce,
                 'leaving': self.is_leaving,
+                'era': self.era,
                 'earlier': [
                     [row.host, row.address, row.term, row.nonce]
                     for row in self.earlier
@@ -86,6 +90,7 @@
                 CoordinatorRow(str(host), str(address), int(term), str(nonce))
                 for host, address, term, nonce in fields.get('earlier', ())
             ),
+            int(fields.get('era', 0)),
         )
     except MALFORMED_ERRORS:
         return None
--- a/src/oriolearch/core/witnesses.py
+++ b/src/oriolearch/core/witnesses.py
@@ -24,6 +24,7 @@
 from oriolearch.core.errors import MALFORMED_ERRORS
 
 FIRST_TERM = 1
+LONG_AGO = float('-inf')  # a time before any other
 # Two of three acknowledge a coordinator or promise a successor, so that one
 # may fail.
 WITNESS_COUNT = 3
@@ -54,12 +55,24 @@
     :param term: 0 when there is no readable row.
     :param over_before: all terms before this one are known to be over.
     :param earlier: witnesses of earlier terms that may not be over, by term.
+    :param era: era of the store in which the row was written.
     """
 
     term: int
     witnesses: tuple[Witness, ...] = ()
     over_before: int = FIRST_TERM
     earlier: Mapping[int, tuple[Witness, ...]] = field(default_factory=dict)
+    era: int = 0
+
+    def in_era(self, era: int) -> 'WitnessRow':
+        """Return what the row proves when it is read in an era of the store.
+
+        A store that came back from a copy may have lost later witnesses. The
+        terms that were over stay over.
+        """
+        if self.era >= era:
+            return self
+        return WitnessRow(self.term, over_before=self.over_before)
 
     def of_term(self, term: int) -> tuple[Witness, ...]:
         """Return the witnesses of a term, or none if the row names none.
@@ -77,6 +90,7 @@
             'term': self.term,
             'witnesses': _encode_group(self.witnesses),
             'over_before': self.over_before,
+            'era': self.era,
             'earlier': {
                 str(term): _encode_group(group)
                 for term, group in self.earlier.items()
@@ -101,6 +115,7 @@
                 int(term): _decode_group(group)
                 for term, group in dict(fields.get('earlier', {})).items()
             },
+            int(fields.get('era', 0)),
         )
     except MALFORMED_ERRORS:
         return WitnessRow(0)
@@ -119,8 +134,17 @@
 
     Times come from a clock that also counts suspended time.
 
+    A store that came back from an earlier copy may have lost the takeover of a
+    successor that the witnesses follow. Until a confirmation in the new era is
+    so late that such a successor, which the store confirms no more, has lost
+    its authority, only the witnesses of before extend the authority.
+
     :param confirmed_at: start of the latest store request that confirmed the
         coordinator.
+    :ivar doubted_groups: groups of witnesses that the store may have named
+        before it came back from a copy.
+    :ivar doubted_until: confirmations that began earlier may have missed a
+        successor that the store has lost.
     :ivar groups: groups of witnesses that the store may name.
     :ivar acknowledged_at: start of the latest acknowledged request by process
         ID of the witness.
@@ -130,6 +154,32 @@
         self.confirmed_at = confirmed_at
         self.groups: list[tuple[Witness, ...]] = [()]
         self.acknowledged_at: dict[str, float] = {}
+        self.doubted_groups: list[tuple[Witness, ...]] = []
+        self.doubted_until = LONG_AGO
+
+    def needed_groups(self) -> list[tuple[Witness, ...]]:
+        """Return the groups whose acknowledgements count at present."""
+        if self._is_doubted():
+            return [*self.groups, *self.doubted_groups]
+        return self.groups
+
+    def record_new_era(self, now: float) -> None:
+        """Record that the store has come back from an earlier copy.
+
+        Without witnesses, a successor had to wait for the longest authority.
+        """
+        groups = [group for group in self.needed_groups() if group]
+        self.doubted_groups = groups
+        if groups:
+            self.doubted_until = now + LONG_AUTHORITY_S
+
+    def is_acknowledged_since(self, asked_at: float) -> bool:
+        """Return whether all groups acknowledged a request since a time."""
+        return all(
+            self.acknowledged_until(group) >= asked_at + ACKNOWLEDGED_S
+            for group in self.needed_groups()
+            if group
+        )
 
     def record_confirmation(self, asked_at: float) -> None:
         """Record that the coordinator's row was unchanged in the store."""
@@ -150,7 +200,9 @@
     def record_stored_group(self, group: Iterable[Witness]) -> None:
         """Record that a group is stored."""
         self.groups = [tuple(group)]
-        runs = {witness.run for witness in self.groups[0]}
+        runs = {
+            witness.run for group in self.needed_groups() for witness in group
+        }
         self.acknowledged_at = {
             run: at for run, at in self.acknowledged_at.items() if run in runs
         }
@@ -168,7 +220,7 @@
 
     def ends_at(self) -> float:
         """Return when the authority ends unless it is extended."""
-        return min(self._until(group) for group in self.groups)
+        return min(self._until(group) for group in self.needed_groups())
 
     def needs_store(self, now: float) -> bool:
         """Check whether the store must confirm the coordinator soon."""
@@ -178,10 +230,13 @@
         longest = self.confirmed_at + LONG_AUTHORITY_S
         if not group:
             return longest
-        return max(
-            self.confirmed_at + SHORT_AUTHORITY_S,
-            min(self.acknowledged_until(group), longest),
-        )
+        acknowledged = min(self.acknowledged_until(group), longest)
+        if self._is_doubted():
+            return acknowledged
+        return max(self.confirmed_at + SHORT_AUTHORITY_S, acknowledged)
+
+    def _is_doubted(self) -> bool:
+        return self.confirmed_at < self.doubted_until
 
 
 class Promise:
@@ -253,14 +308,20 @@
 class EarlierTerms:
     """Determines by when all terms before a takeover are over.
 
-    :param terms: the terms that the successor knows of, newest first and
-        without gaps.
+    :param terms: the terms that the successor knows of. There is a gap where
+        the store has lost terms.
     :param row: the row that it read after its takeover.
+    :param lost_over_at: time by which terms are over whose takeovers the store
+        may have lost when it came back from an earlier copy.
     :ivar ends: the end of each known term that may not be over.
     """
 
     def __init__(
-        self, terms: Sequence[int], row: WitnessRow, took_over_at: float
+        self,
+        terms: Sequence[int],
+        row: WitnessRow,
+        took_over_at: float,
+        lost_over_at: float = LONG_AGO,
     ) -> None:
         self.over_before = row.over_before
         self.ends = {
@@ -269,10 +330,13 @@
             if term >= row.over_before
         }
         # Terms that it does not know of may not be over either.
-        self.others_over_at = (
-            took_over_at
-            if min(terms) <= row.over_before
-            else took_over_at + LONG_AUTHORITY_S
+        is_complete = (
+            min(terms) <= row.over_before
+            and len(self.ends) == max(terms) + 1 - row.over_before
+        )
+        self.others_over_at = max(
+            lost_over_at,
+            took_over_at + (0 if is_complete else LONG_AUTHORITY_S),
         )
 
     @property
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -254,6 +254,20 @@
         ('era',),
         'The store came back from an earlier copy; all tables are read anew.',
     )
+    ROWS_RESTORED = EventKind(
+        450,
+        logging.INFO,
+        ('term', 'era', 'rows', 'waited_s'),
+        'This coordinator has written its rows again, which a restored store '
+        'may have lost.',
+    )
+    TAKEOVER_DELAYED = EventKind(
+        451,
+        logging.INFO,
+        ('reason', 'row_version', 'era'),
+        'This host does not take over yet: the store may have lost the row of '
+        'a later coordinator, which writes it again.',
+    )
     DIRECTORY_APPLIED = EventKind(
         423,
         logging.INFO,
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -152,6 +152,7 @@
         self.takeover_awaited_since: float | None = None
         self.has_asked_larger_host = False
         self.is_over = False
+        self.restoring_since: float | None = None
         self.failing_since: float | None = None
 
     @property
@@ -164,6 +165,29 @@
         """Return whether another host is about to take over."""
         return self.is_leaving or self.takeover_awaited_since is not None
 
+    @property
+    def is_restoring(self) -> bool:
+        """Return whether rows must be written again before others are."""
+        return self.restoring_since is not None
+
+    def begin_restoring(self, now: float) -> None:
+        """Record that the store may have lost rows of this term."""
+        self.restoring_since = now
+        self.authority.record_new_era(now)
+
+    def record_restored(
+        self, row: CoordinatorRow, version: StoreVersion, sent_at: float
+    ) -> None:
+        """Record that the rows of this term were written again.
+
+        :param sent_at: when the write was sent.
+        """
+        self.row = row
+        self.row_version = version
+        self.restoring_since = None
+        self.failing_since = None
+        self.authority.record_confirmation(sent_at)
+
     def mark_leaving(self) -> None:
         """Record that the coordinator's host is shutting down.
 
@@ -188,6 +212,8 @@
             return False
         if self.is_over or now >= since + TAKEOVER_SETTLE_S:
             return True
+        if self.is_restoring:
+            return False
         return not any(
             ownership.has_open_moves() for ownership in self.pools.values()
         )
@@ -197,9 +223,12 @@
         return not self.is_over and lease_clock() < self.authority.ends_at()
 
     def is_stuck(self) -> bool:
-        """Return whether writes of owners have failed for too long."""
-        since = self.failing_since
-        return since is not None and lease_clock() - since > STUCK_AFTER_S
+        """Return whether writes have failed for too long."""
+        now = lease_clock()
+        return any(
+            since is not None and now - since > STUCK_AFTER_S
+            for since in (self.failing_since, self.restoring_since)
+        )
 
     async def run(self) -> None:
         """Grant, renew and move keys until the term is over."""
@@ -234,8 +263,10 @@
             return
         for pool, ownership in self.pools.items():
             for effect in ownership.step(now):
-                if self.is_leaving and isinstance(effect, Store):
-                    # From here on only the successor writes owners.
+                is_held_back = self.is_leaving or self.is_restoring
+                if is_held_back and isinstance(effect, Store):
+                    # Only the successor writes owners, or all are written
+                    # again with the other rows of this term.
                     ownership.record_store_failure(
                         now, is_outcome_unknown=False
                     )
@@ -284,7 +315,9 @@
     def _ask_witnesses(self, now: float) -> None:
         """Ask the witnesses to acknowledge this coordinator."""
         runs = {
-            witness.run for group in self.authority.groups for witness in group
+            witness.run
+            for group in self.authority.needed_groups()
+            for witness in group
         }
         self.members.send_to_runs(
             runs,
@@ -328,8 +361,8 @@
         is_early = lease_clock() < self.began_at + WITNESS_DELAY_S
         if is_early or self.witness_version is None:
             return
-        is_idle = not self.is_storing_witnesses and not self.is_leaving
-        if not is_idle or not self.has_authority():
+        is_busy = self.is_storing_witnesses or self.is_restoring
+        if is_busy or self.is_leaving or not self.has_authority():
             return
         chosen = choose_witnesses(
             self.members.witnesses(),
@@ -346,12 +379,27 @@
             and self.over_before == self.stored_over_before
         ):
             return
-        row = WitnessRow(
-            self.row.term, chosen, self.over_before, self.earlier_witnesses
-        )
+        row = self.make_witness_row(chosen)
         self.is_storing_witnesses = True
         self.local_host.spawn(self._store_witnesses(self.witness_version, row))
 
+    def make_witness_row(self, group: tuple[Witness, ...]) -> WitnessRow:
+        """Return the row that names a group as the witnesses of this term."""
+        return WitnessRow(
+            self.row.term,
+            group,
+            self.over_before,
+            self.earlier_witnesses,
+            self.row.era,
+        )
+
+    def record_witnesses(self, row: WitnessRow, version: StoreVersion) -> None:
+        """Record that a row with witnesses of this term is stored."""
+        self.witness_version = version
+        self.witnesses = row.witnesses
+        self.stored_over_before = row.over_before
+        self.authority.record_stored_group(row.witnesses)
+
     async def _store_witnesses(
         self, version: StoreVersion, row: WitnessRow
     ) -> None:
@@ -359,7 +407,7 @@
         conditions = {COORDINATOR_ROW: self.row_version, WITNESS_ROW: version}
         self.authority.record_proposed_group(row.witnesses)
         try:
-            self.witness_version = await self.store.commit(
+            stored_version = await self.store.commit(
                 conditions,
                 {WITNESS_ROW: row.encode()},
             )
@@ -373,10 +421,8 @@
                 self._recover_witness_version(error)
             await asyncio.sleep(WITNESS_RETRY_S)
         else:
-            self.authority.record_stored_group(row.witnesses)
+            self.record_witnesses(row, stored_version)
             self.authority.record_confirmation(sent_at)
-            self.witnesses = row.witnesses
-            self.stored_over_before = row.over_before
             self.log.emit(
                 Event.WITNESSES_CHOSEN,
                 term=self.row.term,
@@ -418,7 +464,9 @@
         )
         row = next(named, None)
         self.witness_version = row.version if row else ABSENT
-        return decode_witnesses(row.value if row else None)
+        if row is None:
+            return decode_witnesses(None)
+        return decode_witnesses(row.value).in_era(row.version.era)
 
     async def _read_table(self, table: str) -> tuple[StoredRow, ...]:
         """Read a table, with retries until the term is over."""
--- a/src/oriolearch/relaying.py
+++ b/src/oriolearch/relaying.py
@@ -226,7 +226,8 @@
         :raises ValueError: when the message is malformed.
         """
         table, rows, version = decode_rows(message, self.ledger.era)
-        self.ledger.record_era(version.era)
+        if version.era:
+            self.ledger.record_era(version.era)
         mirror = self.mirrors.get(table)
         if mirror is None:
             return
--- /dev/null
+++ b/src/oriolearch/restoring.py
@@ -0,0 +1,140 @@
+"""Write the rows of a coordinator again when the store has lost some.
+
+A store that came back from an earlier copy names an earlier coordinator, or
+lacks what the present one has written since. The coordinator knows more than
+the copy: it writes its rows again, under conditions that it reads anew.
+
+The store may have lost the takeover of a successor, too. If that one may act,
+a majority of the coordinator's witnesses has promised it not to acknowledge the
+coordinator any more. So the coordinator writes nothing before a majority has
+acknowledged it in the new era.
+"""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import replace
+from typing import Protocol
+
+from oriolearch.clock import lease_clock
+from oriolearch.coordinator_rows import (
+    COORDINATOR_ROW,
+    COORDINATOR_TABLE,
+    WITNESS_ROW,
+    CoordinatorRow,
+)
+from oriolearch.core.errors import PlatformError
+from oriolearch.core.versions import ABSENT, StoreVersion, VersionLedger
+from oriolearch.eventlog import Event, EventLog
+from oriolearch.leadership import Leadership
+from oriolearch.ports import RowName, SharedStore, TableState
+
+RETRY_S = 0.25  # after a failed call of the store
+# A coordinator that a majority does not acknowledge for so long gives up.
+ACKNOWLEDGEMENT_WAIT_S = 2.0
+ACKNOWLEDGEMENT_POLL_S = 0.05  # witnesses acknowledge every 0.25 s
+
+
+class CoordinatorHost(Protocol):
+    """The host of the coordinator, as far as its row is concerned.
+
+    :ivar row_version: version of the coordinator row in the store.
+    """
+
+    row_version: StoreVersion
+
+    async def read_coordinator_row(self) -> None:
+        """Read the coordinator row; end the term if another host took over."""
+
+    def record_own_row(
+        self, row: CoordinatorRow, version: StoreVersion
+    ) -> None:
+        """Record that the row of this host's term was written."""
+
+    def end_term(self, reason: str) -> None:
+        """End the term."""
+
+
+class Restoration:
+    """Writes the rows of one term again."""
+
+    def __init__(
+        self,
+        leadership: Leadership,
+        host: CoordinatorHost,
+        store: SharedStore,
+        ledger: VersionLedger,
+        log: EventLog,
+    ) -> None:
+        self.leadership = leadership
+        self.host = host
+        self.store = store
+        self.ledger = ledger
+        self.log = log
+
+    async def run(self) -> None:
+        """Try until the rows are written in the present era, or it is over."""
+        while not self.leadership.is_over and self.leadership.is_restoring:
+            try:
+                await self._try_once()
+            except PlatformError as error:
+                self.log.emit(
+                    Event.STORE_LOST,
+                    table=COORDINATOR_TABLE,
+                    error=str(error),
+                )
+                await asyncio.sleep(RETRY_S)
+
+    async def _try_once(self) -> None:
+        leadership = self.leadership
+        await self.host.read_coordinator_row()
+        if leadership.is_over:
+            return
+        since = leadership.restoring_since or lease_clock()
+        if leadership.authority.is_acknowledged_since(since):
+            await self._write()
+        elif lease_clock() < since + ACKNOWLEDGEMENT_WAIT_S:
+            await asyncio.sleep(ACKNOWLEDGEMENT_POLL_S)
+        elif leadership.has_authority():
+            await asyncio.sleep(RETRY_S)
+        else:
+            self.host.end_term('too few witnesses follow it in the new era')
+
+    async def _write(self) -> None:
+        leadership = self.leadership
+        era = self.ledger.era
+        versions = await self._read_versions()
+        row = replace(leadership.row, era=era, is_leaving=leadership.is_leaving)
+        witnesses = replace(
+            leadership.make_witness_row(leadership.witnesses), era=era
+        )
+        writes = {COORDINATOR_ROW: row.encode()}
+        if witnesses.witnesses:
+            # Otherwise this term has not replaced the row of another one.
+            writes[WITNESS_ROW] = witnesses.encode()
+        sent_at = lease_clock()
+        version = await self.store.commit(
+            {name: versions.get(name, ABSENT) for name in writes}, writes
+        )
+        waited_s = sent_at - (leadership.restoring_since or sent_at)
+        self.host.record_own_row(row, version)
+        leadership.record_restored(row, version, sent_at)
+        if WITNESS_ROW in writes:
+            leadership.record_witnesses(witnesses, version)
+        elif leadership.witness_version is not None:
+            leadership.witness_version = versions.get(WITNESS_ROW, ABSENT)
+        self.log.emit(
+            Event.ROWS_RESTORED,
+            term=row.term,
+            era=era,
+            rows=len(writes),
+            waited_s=round(waited_s, 3),
+        )
+
+    async def _read_versions(self) -> Mapping[RowName, StoreVersion]:
+        """Return the present versions of all rows that are written again."""
+        state = await self.store.read(WITNESS_ROW.table)
+        return {COORDINATOR_ROW: self.host.row_version, **_versions(state)}
+
+
+def _versions(state: TableState) -> dict[RowName, StoreVersion]:
+    return {RowName(row.table, row.key): row.version for row in state.rows}
--- a/src/oriolearch/succession.py
+++ b/src/oriolearch/succession.py
@@ -7,6 +7,7 @@
 from oriolearch.coordinator_rows import CoordinatorRow
 from oriolearch.core.errors import PeerError
 from oriolearch.core.witnesses import (
+    LONG_AGO,
     EarlierTerms,
     PredecessorEnd,
     Witness,
@@ -26,6 +27,7 @@
     the predecessor may have ended before they were known to be over.
 
     :param predecessor: ``None`` when there is none that may still act.
+    :param lost_over_at: by then, terms that the store lost are over.
     """
 
     def __init__(
@@ -33,7 +35,9 @@
         leadership: Leadership,
         predecessor: CoordinatorRow | None,
         log: EventLog,
+        lost_over_at: float = LONG_AGO,
     ) -> None:
+        self.lost_over_at = lost_over_at
         self.leadership = leadership
         self.predecessor = predecessor
         self.log = log
@@ -48,7 +52,9 @@
         if self.predecessor is None:
             return
         rows = {term.term: term for term in self.predecessor.known_terms()}
-        earlier = EarlierTerms(tuple(rows), row, self.took_over_at)
+        earlier = EarlierTerms(
+            tuple(rows), row, self.took_over_at, self.lost_over_at
+        )
         self.leadership.record_earlier_terms(earlier)
         while not self.leadership.is_over and lease_clock() < earlier.over_at:
             await asyncio.gather(
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -95,6 +95,7 @@
         self.servers: list[KeyedServer] = []
         self.hosts: list[HostDaemon] = []
         self.count = 0
+        self.is_first_start = False
 
     async def open(self, servers: int = 2, hosts: int = 1) -> None:
         await self.store.listen()
@@ -112,10 +113,9 @@
         return server
 
     async def add_host(self, name: str) -> HostDaemon:
-        host_settings = read_settings(
-            'test', settings(self.store.address, name)
-        )
-        host = HostDaemon(host_settings)
+        fields = settings(self.store.address, name)
+        fields['bootstrap'] = self.is_first_start
+        host = HostDaemon(read_settings('test', fields))
         await host.start()
         self.hosts.append(host)
         return host
@@ -180,11 +180,20 @@
     scenario: Callable[[Installation], Awaitable[None]],
     servers: int = 2,
     hosts: int = 1,
+    era: int | None = None,
 ) -> None:
+    """Run a scenario.
+
+    :param era: of a store whose answers name it, at the first start.
+    """
+
     async def run() -> None:
         installation = Installation()
+        installation.store.era = era
+        installation.is_first_start = era is not None
         try:
             await installation.open(servers, hosts)
+            installation.is_first_start = False
             await installation.wait_until_all_served()
             await scenario(installation)
         finally:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -4,11 +4,23 @@
 
 import pytest
 
+from oriolearch.coordinator_rows import COORDINATOR_ROW, decode_coordinator
+from oriolearch.core.versions import StoreVersion
+from oriolearch.leadership import Leadership
 from oriolearch.platform.daemon import HostDaemon
+from oriolearch.ports import StoredRow
 from tests.platform_standin import make_document, make_rule
-from tests.test_platform_host import Installation, run_scenario
+from tests.test_platform_host import (
+    Installation,
+    coordinator_host,
+    run_scenario,
+    wait_for_coordinator,
+    wait_for_witnesses,
+)
 
 CONFIG_S = 2.0  # bound of the platform for a new configuration
+RECOVER_S = 20.0  # the longest authority and lease of a lost coordinator
+RESTORED_S = 2.0  # until a coordinator has written its rows again
 REFILL_S = 0.15  # until the operator has written again
 ROUTES = [make_rule('order', 'unsafe', 1.2)]
 
@@ -25,9 +37,7 @@
 
 async def wait_for_config(installation: Installation, version: int) -> None:
     async with asyncio.timeout(CONFIG_S):
-        while {config_version(host) for host in installation.hosts} != {
-            version
-        }:
+        while set(map(config_version, installation.hosts)) != {version}:
             await asyncio.sleep(0.02)
 
 
@@ -43,8 +53,6 @@
 
     async def scenario(installation: Installation) -> None:
         store = installation.store
-        store.era = 1
-        store.put('op', 'other', {})  # names the era to all hosts
         copy = store.copy()
         for _ in range(writes):
             store.put('own', 'unrelated', {})
@@ -55,7 +63,7 @@
         store.put('op', 'config', make_document(12, ROUTES))
         await wait_for_config(installation, 12)
 
-    run_scenario(scenario, hosts=4)
+    run_scenario(scenario, hosts=4, era=1)
 
 
 def test_configuration_does_not_revert_with_the_store() -> None:
@@ -63,7 +71,6 @@
 
     async def scenario(installation: Installation) -> None:
         store = installation.store
-        store.era = 1
         copy = store.copy()
         store.put('op', 'config', make_document(9, ROUTES))
         await wait_for_config(installation, 9)
@@ -73,7 +80,7 @@
             assert {config_version(host) for host in installation.hosts} == {9}
         store.refill()
 
-    run_scenario(scenario, hosts=4)
+    run_scenario(scenario, hosts=4, era=1)
 
 
 def test_zone_stays_out_until_the_operator_has_written_again() -> None:
@@ -84,7 +91,6 @@
 
     async def scenario(installation: Installation) -> None:
         store = installation.store
-        store.era = 1
         copy = store.copy()
         store.put('op', 'evacuate/z1', {})
         async with asyncio.timeout(CONFIG_S):
@@ -103,4 +109,137 @@
             while any(map(is_zone_out, installation.hosts)):
                 await asyncio.sleep(0.02)
 
-    run_scenario(scenario, hosts=3)
+    run_scenario(scenario, hosts=3, era=1)
+
+
+def stored_term(installation: Installation) -> int:
+    """Return the term that the store names."""
+    value, number = installation.store.rows[
+        COORDINATOR_ROW.table, COORDINATOR_ROW.key
+    ]
+    row = StoredRow(
+        COORDINATOR_ROW.table,
+        COORDINATOR_ROW.key,
+        value,
+        StoreVersion(0, number),
+    )
+    decoded = decode_coordinator(row)
+    assert decoded is not None
+    return decoded.term
+
+
+def acting_terms(installation: Installation) -> list[int]:
+    """Return the terms whose coordinators may grant keys."""
+    leaderships = (host.coordination.leadership for host in installation.hosts)
+    return [
+        leadership.row.term
+        for leadership in leaderships
+        if leadership is not None and leadership.has_authority()
+    ]
+
+
+def leadership_of(host: HostDaemon) -> Leadership:
+    leadership = host.coordination.leadership
+    assert leadership is not None
+    return leadership
+
+
+async def wait_until_restored(installation: Installation) -> None:
+    """Wait until the coordinator has written its rows in the present era."""
+    async with asyncio.timeout(RESTORED_S):
+        while not is_restored(installation):
+            await asyncio.sleep(0.02)
+
+
+def is_restored(installation: Installation) -> bool:
+    terms = acting_terms(installation)
+    if terms != [stored_term(installation)]:
+        return False
+    leadership = leadership_of(coordinator_host(installation))
+    is_current = leadership.row.era == installation.store.era
+    return is_current and not leadership.is_restoring
+
+
+async def replace_coordinator(installation: Installation) -> HostDaemon:
+    """Stop the coordinator; return its host once another one coordinates."""
+    coordinator = coordinator_host(installation)
+    installation.kill(coordinator)
+    await wait_for_coordinator(installation)
+    await wait_for_witnesses(installation)
+    return coordinator
+
+
+@pytest.mark.parametrize('restarts', [False, True])
+def test_coordinator_whose_takeover_the_store_lost(restarts: bool) -> None:
+    """Guard against two coordinators (OWNER), and against none (RECOVER).
+
+    The restarted host of the predecessor found its own row in the store and
+    took over at once. Without it, no host could coordinate any more: each
+    ignored the row, and made its takeover conditional on the lost version.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        store = installation.store
+        await wait_for_witnesses(installation)
+        await wait_until_restored(installation)
+        copy = store.copy()
+        predecessor = await replace_coordinator(installation)
+        term = leadership_of(coordinator_host(installation)).row.term
+        store.restore(copy)
+        if restarts:
+            again = HostDaemon(predecessor.settings)
+            await again.start()
+            installation.hosts.append(again)
+        ends_at = asyncio.get_running_loop().time() + 3
+        while asyncio.get_running_loop().time() < ends_at:
+            assert acting_terms(installation) == [term]
+            await asyncio.sleep(0.02)
+        assert stored_term(installation) == term
+        await installation.wait_until_all_served()
+
+    run_scenario(scenario, hosts=4, era=1)
+
+
+def test_coordinator_that_is_lost_with_its_row() -> None:
+    """Guard against a term that is given twice, and against a long gap.
+
+    The store lost the takeover of a coordinator that then ended: nobody writes
+    its row again.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        store = installation.store
+        await wait_for_witnesses(installation)
+        await wait_until_restored(installation)
+        copy = store.copy()
+        await replace_coordinator(installation)
+        lost = coordinator_host(installation)
+        term = leadership_of(lost).row.term
+        installation.kill(lost)
+        store.restore(copy)
+        successor = await wait_for_coordinator(installation)
+        assert leadership_of(successor).row.term > term + 1
+        async with asyncio.timeout(RECOVER_S):
+            while set(await installation.send_orders()) != {200}:
+                await asyncio.sleep(0.2)
+
+    run_scenario(scenario, hosts=4, era=1)
+
+
+def test_store_that_comes_back_twice() -> None:
+    """Guard against a row that is written for an era that is over."""
+
+    async def scenario(installation: Installation) -> None:
+        store = installation.store
+        await wait_for_witnesses(installation)
+        await wait_until_restored(installation)
+        term = leadership_of(coordinator_host(installation)).row.term
+        copy = store.copy()
+        for _ in range(2):
+            store.restore(copy)
+            await asyncio.sleep(0.3)
+        await wait_until_restored(installation)
+        assert stored_term(installation) == term
+        await installation.wait_until_all_served()
+
+    run_scenario(scenario, hosts=4, era=1)
--- a/tests/test_witnesses.py
+++ b/tests/test_witnesses.py
@@ -265,6 +265,18 @@
         ),
         ((5, 4), WitnessRow(0), {5: (), 4: ()}, True),
         ((2, 1), WitnessRow(1, GROUP), {2: (), 1: GROUP}, False),
+        (
+            (1005, 4, 3),
+            WitnessRow(1005, GROUP, over_before=4),
+            {1005: GROUP, 4: ()},
+            True,
+        ),
+        (
+            (1005, 4),
+            WitnessRow(1005, GROUP, over_before=1005),
+            {1005: GROUP},
+            False,
+        ),
     ],
     ids=[
         'settled',
@@ -275,6 +287,8 @@
         'settled-up-to-the-last-but-one',
         'no-row',
         'from-the-first',
+        'terms-that-a-store-lost',
+        'lost-terms-are-over',
     ],
 )
 def test_terms_that_may_not_be_over(
@@ -294,6 +308,95 @@
     assert earlier.over_at == pytest.approx(10 + wait_s)
 
 
+def test_terms_that_the_store_lost_may_act_for_a_while() -> None:
+    """Fails if a successor grants keys beside one that the store lost."""
+    row = WitnessRow(5, GROUP, over_before=5)
+    earlier = EarlierTerms((5,), row, took_over_at=10.0, lost_over_at=17.0)
+    earlier.ends[5].record_proven_end(11.0)
+    assert earlier.over_at == pytest.approx(17)
+
+
+@pytest.mark.parametrize(
+    ('era', 'witnesses'), [(1, GROUP), (2, GROUP), (3, ())]
+)
+def test_witnesses_of_an_earlier_era_prove_nothing(
+    era: int, witnesses: tuple[Witness, ...]
+) -> None:
+    """Fails if promises of witnesses count that were replaced since."""
+    written = WitnessRow(4, GROUP, 3, {3: GROUP}, era=2)
+    row = decode_witnesses(written.encode()).in_era(era)
+    assert row.over_before == 3
+    assert row.of_term(4) == row.of_term(3) == witnesses
+
+
+class RandomRestoredTakeover(RandomTakeover):
+    """A takeover that the store loses as it comes back from a copy.
+
+    The predecessor learns of the new era and writes its row again once it is
+    acknowledged; the successor learns later that the store names it no more.
+    """
+
+    def __init__(self, seed: int, *, ignores_era: bool = False) -> None:
+        super().__init__(seed)
+        self.ignores_era = ignores_era
+        self.restored_at = self.took_over_at + self.rng.uniform(0, 5)
+        self.noticed_at = self.restored_at + self.rng.uniform(0, 3)
+        self.successor_ends_at = self.restored_at + self.rng.uniform(
+            0, LONG_AUTHORITY_S
+        )
+        self.has_noticed = False
+        self.is_written = False
+
+    def act_as_successor(self, now: float) -> None:
+        if now < self.successor_ends_at:
+            super().act_as_successor(now)
+        if now >= self.noticed_at:
+            self.act_in_new_era(now)
+
+    def act_in_new_era(self, now: float) -> None:
+        if not self.has_noticed:
+            self.has_noticed = True
+            if not self.ignores_era:
+                self.authority.record_new_era(now)
+        if self.is_written:
+            self.act_as_predecessor(now)
+            return
+        is_acknowledged = self.authority.is_acknowledged_since(self.noticed_at)
+        if is_acknowledged and now < self.authority.ends_at():
+            self.is_written = True
+            self.authority.record_confirmation(now)
+
+    def acts_twice(self, now: float) -> bool:
+        """Return whether both act, after promises of the witnesses."""
+        if self.end is None or now >= self.successor_ends_at:
+            return False
+        has_promises = self.end.over_at < self.took_over_at + LONG_AUTHORITY_S
+        is_free = has_promises and now >= self.end.over_at
+        return is_free and self.authority.ends_at() > now + ROUNDING_S
+
+
+@pytest.mark.parametrize('seed', range(300))
+def test_predecessor_in_a_new_era_respects_a_lost_takeover(seed: int) -> None:
+    """Fails if two coordinators act since the store lost a takeover."""
+    takeover = RandomRestoredTakeover(seed)
+    for tick in range(300):
+        takeover.step(tick / 10)
+        assert not takeover.acts_twice(tick / 10)
+
+
+def test_random_restored_takeovers_detect_an_ignored_era() -> None:
+    """Fails if the random test cannot detect two coordinators that act."""
+    found = written = 0
+    for seed in range(200):
+        takeover = RandomRestoredTakeover(seed, ignores_era=True)
+        for tick in range(300):
+            takeover.step(tick / 10)
+            found += takeover.acts_twice(tick / 10)
+        written += takeover.is_written
+    assert found
+    assert written
+
+
 class RandomSecondTakeover(RandomTakeover):
     """A successor that is lost soon, and a second one.
 
