Write the owners of keys again in a new era of the store

The successor took the owners of before the move for the present ones.

Ruled out: the servers' own check of tokens. The second owner had never seen the first one's token.

Change: the coordinator writes the owners of all pools again together with its own row and its witnesses, the coordinator row last. A successor that finds an owners row, or the coordinator row, of an earlier era grants nothing until all leases that lost terms may have granted are over, and begins its tokens above all that the store may have lost. Hosts without a coordinator do not read outdated owners. This works since a coordinator row of the present era proves that all owners were written in it, and otherwise nobody's word is taken for the holder of a key.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -18,6 +18,7 @@
     WITNESS_ROW,
     CoordinatorRow,
     decode_coordinator,
+    is_outdated,
     read_owners,
     read_ranges,
 )
@@ -1107,6 +1108,7 @@
             self,
             Member(self.address, self.zone, self.capacity, self.nonce),
         )
+        leadership.has_lost_rows = attempt.lost_over_at > LONG_AGO
         leadership.authority.record_confirmation(attempt.began_at)
         if predecessor is None:
             leadership.limit_predecessor(
@@ -1217,7 +1219,7 @@
             return
         for row in state.rows:
             ranges = read_ranges(row, self.log)
-            if not ranges:
+            if not ranges or is_outdated(row):
                 continue
             self.log.emit(
                 Event.OWNERS_READ,
--- a/src/oriolearch/coordinator_rows.py
+++ b/src/oriolearch/coordinator_rows.py
@@ -3,6 +3,7 @@
 import json
 import zlib
 from dataclasses import dataclass
+from typing import Any
 
 from oriolearch.adapters.host_links import Message
 from oriolearch.clock import lease_clock
@@ -96,8 +97,13 @@
         return None
 
 
-def encode_ranges(ranges: tuple[KeyRange, ...], revision: int) -> bytes:
-    """Return the value of a pool's row."""
+def encode_ranges(
+    ranges: tuple[KeyRange, ...], revision: int, era: int = 0
+) -> bytes:
+    """Return the value of a pool's row.
+
+    :param era: era of the store in which the row is written.
+    """
     rows = [
         [
             keys.first,
@@ -106,7 +112,7 @@
         ]
         for keys in ranges
     ]
-    body = {'revision': revision, 'ranges': rows}
+    body = {'revision': revision, 'era': era, 'ranges': rows}
     text = json.dumps(body, separators=(',', ':')).encode()
     # A row is limited to 64 KB, about 1,000 ranges of plain text.
     return zlib.compress(text) if len(text) >= COMPRESS_FROM_BYTES else text
@@ -135,12 +141,8 @@
     """
     ranges = []
     try:
-        text = (
-            value
-            if value.startswith(b'{')
-            else decompress(value, MAX_UNPACKED_BYTES)
-        )
-        for first, last, owner, fence, previous in json.loads(text)['ranges']:
+        rows = _load_fields(value)['ranges']
+        for first, last, owner, fence, previous in rows:
             keys = KeyRange(
                 int(first), int(last), _parse_ref(owner), int(fence)
             )
@@ -154,6 +156,29 @@
     return ranges
 
 
+def _load_fields(value: bytes) -> dict[str, Any]:
+    text = (
+        value
+        if value.startswith(b'{')
+        else decompress(value, MAX_UNPACKED_BYTES)
+    )
+    fields = json.loads(text)
+    return fields if isinstance(fields, dict) else {}
+
+
+def decode_era(value: bytes | None) -> int:
+    """Return the era in which a pool's row was written; 0 if unreadable."""
+    try:
+        return int(_load_fields(value or b'').get('era', 0))
+    except MALFORMED_ERRORS:
+        return 0
+
+
+def is_outdated(row: StoredRow) -> bool:
+    """Return whether the store may have lost later owners of a pool's keys."""
+    return decode_era(row.value) < row.version.era
+
+
 def read_ranges(row: StoredRow, log: EventLog) -> list[KeyRange]:
     """Return the ranges of a pool's row; log a row that is unreadable."""
     if row.value is None:
--- a/src/oriolearch/core/ownership.py
+++ b/src/oriolearch/core/ownership.py
@@ -165,6 +165,8 @@
     :param first_fence: a fencing token above those of all predecessors.
     :param predecessor_lease_until: end of all leases that a predecessor may
         have granted to an upstream that does not answer.
+    :param calls_from: no upstream is called before. Other upstreams than the
+        ranges name may hold leases until then.
     """
 
     def __init__(
@@ -175,7 +177,9 @@
         lease_s: float,
         renew_s: float,
         predecessor_lease_until: float,
+        calls_from: float = 0.0,
     ) -> None:
+        self.calls_from = calls_from
         self.ranges = list(ranges)
         self.fence = first_fence
         self.lease_s = lease_s
@@ -225,6 +229,7 @@
 
     def limit_predecessor_leases(self, until: float) -> None:
         """Lower the time until which leases of the predecessor may last."""
+        self.calls_from = min(self.calls_from, until)
         for keys in self.ranges:
             keys.predecessor_lease_until = min(
                 keys.predecessor_lease_until, until
@@ -296,14 +301,19 @@
             and not self.is_store_pending
             and now >= self.store_after
         ):
-            self.is_store_pending = True
-            self.storing_revision = self.revision
-            self.store_started_at = now
-            effects.append(Store(self.revision, tuple(self.ranges)))
+            effects.append(self.begin_store(now))
         effects.extend(self._due_probes(now))
-        effects.extend(self._due_calls(now))
+        if now >= self.calls_from:
+            effects.extend(self._due_calls(now))
         return effects
 
+    def begin_store(self, now: float) -> Store:
+        """Return a write of all ranges, whether or not they changed."""
+        self.is_store_pending = True
+        self.storing_revision = self.revision
+        self.store_started_at = now
+        return Store(self.revision, tuple(self.ranges))
+
     def _due_calls(self, now: float) -> Iterator[Effect]:
         for keys in self.ranges:
             if keys.call or not self._may_call(now, keys):
@@ -452,7 +462,7 @@
 
     def _unowned_range(self, now: float, keys: KeyRange) -> OwnedRange:
         """Return a range without an owner, and when it should get one."""
-        expected_at = now + EXPECTED_MOVE_S
+        expected_at = max(now + EXPECTED_MOVE_S, self.calls_from)
         if keys.previous in self.unresponsive_since:
             expected_at = max(expected_at, keys.free_at)
         return OwnedRange(keys.first, keys.last, None, expected_at)
--- a/src/oriolearch/core/witnesses.py
+++ b/src/oriolearch/core/witnesses.py
@@ -332,7 +332,7 @@
         # Terms that it does not know of may not be over either.
         is_complete = (
             min(terms) <= row.over_before
-            and len(self.ends) == max(terms) + 1 - row.over_before
+            and len(self.ends) >= max(terms) + 1 - row.over_before
         )
         self.others_over_at = max(
             lost_over_at,
--- a/src/oriolearch/eventlog.py
+++ b/src/oriolearch/eventlog.py
@@ -268,6 +268,13 @@
         'This host does not take over yet: the store may have lost the row of '
         'a later coordinator, which writes it again.',
     )
+    OWNERS_OUTDATED = EventKind(
+        452,
+        logging.WARNING,
+        ('pool', 'row_version', 'era', 'fence', 'unserved_s'),
+        'The store may have lost later owners of the keys; no key is granted '
+        'until all leases have expired.',
+    )
     DIRECTORY_APPLIED = EventKind(
         423,
         logging.INFO,
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -8,7 +8,7 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable, Mapping
 from typing import Any, Protocol
 
 from oriolearch.adapters.host_links import HostLink, Message
@@ -19,7 +19,9 @@
     OWNER_TABLE,
     WITNESS_ROW,
     CoordinatorRow,
+    decode_era,
     encode_ranges,
+    is_outdated,
     owners_message,
     read_ranges,
     required_versions,
@@ -75,6 +77,9 @@
 WITNESS_DELAY_S = 0.5  # most hosts have connected by then
 WITNESS_RETRY_S = 0.5  # after a failed write of the witnesses
 READ_RETRY_S = 0.2  # after a failed read at the start of a term
+# Fencing tokens that a store may have lost when it comes back from a copy some
+# seconds old, at most. New tokens are above all of them.
+MAX_LOST_FENCES = 2**20
 # Other hosts may replace a coordinator whose writes fail for this long.
 STUCK_AFTER_S = 2.0
 
@@ -112,6 +117,8 @@
     """One term of a coordinator.
 
     :param row_version: version of the row that names the coordinator.
+    :ivar has_lost_rows: whether the store may have lost rows of owners, also
+        all rows of a pool, before this term began.
     """
 
     def __init__(
@@ -145,6 +152,7 @@
         self.openings: dict[str, PoolOpening] = {}
         self.pool_versions: dict[str, StoreVersion] = {}
         self.stored_rows: dict[str, StoredRow] = {}
+        self.has_lost_rows = False
         self.members = Members(
             own_member, self._heartbeat_message, local_host.update_hosts
         )
@@ -175,6 +183,39 @@
         self.restoring_since = now
         self.authority.record_new_era(now)
 
+    def begin_storing_pools(self, now: float) -> dict[str, Store]:
+        """Return writes of the owners of all pools, whatever is stored."""
+        return {
+            pool: ownership.begin_store(now)
+            for pool, ownership in self.pools.items()
+        }
+
+    def end_storing_pools(self, now: float) -> None:
+        """Record that these writes may have failed."""
+        for ownership in self.pools.values():
+            ownership.record_store_failure(now, is_outcome_unknown=True)
+
+    def record_stored_pools(
+        self,
+        stores: Mapping[str, Store],
+        version: StoreVersion,
+        rows: Iterable[StoredRow],
+    ) -> None:
+        """Record that the owners were written again.
+
+        :param rows: the rows of the present era before that.
+        """
+        self.stored_rows = {row.key: row for row in rows}
+        for pool, ownership in self.pools.items():
+            if pool in stores:
+                self.pool_versions[pool] = version
+                ownership.record_store_success(
+                    lease_clock(), stores[pool].revision
+                )
+            else:  # opened meanwhile
+                row = self.stored_rows.get(pool)
+                self.pool_versions[pool] = row.version if row else ABSENT
+
     def record_restored(
         self, row: CoordinatorRow, version: StoreVersion, sent_at: float
     ) -> None:
@@ -513,16 +554,28 @@
                 has_requests=has_requests,
             )
         unknown_until = self.predecessor_end_at + _MAX_GRANT_S
+        first_fence = max((keys.fence for keys in ranges), default=0)
+        is_lost = self.has_lost_rows or (
+            stored is not None and is_outdated(stored)
+        )
+        if is_lost:
+            first_fence += self._lost_fences(stored)
+            self.log.emit(
+                Event.OWNERS_OUTDATED,
+                pool=pool,
+                row_version=stored.version if stored else ABSENT,
+                era=self.row.era,
+                fence=first_fence,
+                unserved_s=round(unknown_until - now, 3),
+            )
         ownership = KeyOwnership(
             now,
             ranges,
-            max(
-                (keys.fence for keys in ranges),
-                default=0,
-            ),
+            first_fence,
             LEASE_S,
             RENEWAL_PERIOD_S,
-            unknown_until if stored is not None else now,
+            unknown_until if is_lost or stored is not None else now,
+            unknown_until if is_lost else now,
         )
         self.pools[pool] = ownership
         self.pool_versions[pool] = stored.version if stored else ABSENT
@@ -531,6 +584,11 @@
         self._send_owners(pool, ownership.snapshot(lease_clock()), True)
         return ownership
 
+    def _lost_fences(self, stored: StoredRow | None) -> int:
+        """Return by how much lost fencing tokens exceed those of a row."""
+        stored_era = decode_era(stored.value) if stored else 0
+        return MAX_LOST_FENCES * max(self.row.era - stored_era, 1)
+
     def _reassign_unusable(self, now: float) -> None:
         if self.is_leaving:
             return
@@ -573,7 +631,7 @@
         effect: Effect,
     ) -> None:
         if isinstance(effect, Store):
-            value = encode_ranges(effect.ranges, effect.revision)
+            value = encode_ranges(effect.ranges, effect.revision, self.row.era)
             self.local_host.spawn(
                 self._store(pool, ownership, effect.revision, value)
             )
--- a/src/oriolearch/restoring.py
+++ b/src/oriolearch/restoring.py
@@ -11,23 +11,29 @@
 """
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import replace
+from itertools import chain
 from typing import Protocol
 
 from oriolearch.clock import lease_clock
 from oriolearch.coordinator_rows import (
     COORDINATOR_ROW,
     COORDINATOR_TABLE,
+    OWNER_TABLE,
     WITNESS_ROW,
     CoordinatorRow,
+    encode_ranges,
 )
 from oriolearch.core.errors import PlatformError
 from oriolearch.core.versions import ABSENT, StoreVersion, VersionLedger
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.leadership import Leadership
-from oriolearch.ports import RowName, SharedStore, TableState
+from oriolearch.ports import RowName, SharedStore, StoredRow
 
+# Rows and bytes of a transaction; the store takes 100 and, encoded, 1 MB.
+MAX_ROWS = 90
+MAX_BYTES = 600_000
 RETRY_S = 0.25  # after a failed call of the store
 # A coordinator that a majority does not acknowledge for so long gives up.
 ACKNOWLEDGEMENT_WAIT_S = 2.0
@@ -100,25 +106,45 @@
             self.host.end_term('too few witnesses follow it in the new era')
 
     async def _write(self) -> None:
+        """Write all rows; the coordinator row last.
+
+        A successor that finds it in the present era trusts the others.
+        """
         leadership = self.leadership
         era = self.ledger.era
-        versions = await self._read_versions()
+        states = await asyncio.gather(
+            self.store.read(WITNESS_ROW.table), self.store.read(OWNER_TABLE)
+        )
+        versions = {
+            COORDINATOR_ROW: self.host.row_version,
+            **_versions(chain.from_iterable(state.rows for state in states)),
+        }
         row = replace(leadership.row, era=era, is_leaving=leadership.is_leaving)
         witnesses = replace(
             leadership.make_witness_row(leadership.witnesses), era=era
         )
-        writes = {COORDINATOR_ROW: row.encode()}
+        now = lease_clock()
+        stores = leadership.begin_storing_pools(now)
+        writes = {
+            RowName(OWNER_TABLE, pool): encode_ranges(
+                store.ranges, store.revision, era
+            )
+            for pool, store in stores.items()
+        }
         if witnesses.witnesses:
             # Otherwise this term has not replaced the row of another one.
             writes[WITNESS_ROW] = witnesses.encode()
-        sent_at = lease_clock()
-        version = await self.store.commit(
-            {name: versions.get(name, ABSENT) for name in writes}, writes
-        )
-        waited_s = sent_at - (leadership.restoring_since or sent_at)
+        writes[COORDINATOR_ROW] = row.encode()
+        try:
+            version = await self._commit(writes, versions)
+        except PlatformError:
+            leadership.end_storing_pools(lease_clock())
+            raise
+        waited_s = now - (leadership.restoring_since or now)
         self.host.record_own_row(row, version)
-        leadership.record_restored(row, version, sent_at)
-        if WITNESS_ROW in writes:
+        leadership.record_stored_pools(stores, version, states[1].rows)
+        leadership.record_restored(row, version, now)
+        if witnesses.witnesses:
             leadership.record_witnesses(witnesses, version)
         elif leadership.witness_version is not None:
             leadership.witness_version = versions.get(WITNESS_ROW, ABSENT)
@@ -130,11 +156,33 @@
             waited_s=round(waited_s, 3),
         )
 
-    async def _read_versions(self) -> Mapping[RowName, StoreVersion]:
-        """Return the present versions of all rows that are written again."""
-        state = await self.store.read(WITNESS_ROW.table)
-        return {COORDINATOR_ROW: self.host.row_version, **_versions(state)}
-
-
-def _versions(state: TableState) -> dict[RowName, StoreVersion]:
-    return {RowName(row.table, row.key): row.version for row in state.rows}
+    async def _commit(
+        self,
+        writes: Mapping[RowName, bytes],
+        versions: Mapping[RowName, StoreVersion],
+    ) -> StoreVersion:
+        """Write rows in as few transactions as the store's limits allow."""
+        version = ABSENT
+        for batch in _batches(writes):
+            names = {COORDINATOR_ROW, *batch}
+            version = await self.store.commit(
+                {name: versions.get(name, ABSENT) for name in names}, batch
+            )
+        return version
+
+
+def _versions(rows: Iterable[StoredRow]) -> dict[RowName, StoreVersion]:
+    return {RowName(row.table, row.key): row.version for row in rows}
+
+
+def _batches(
+    writes: Mapping[RowName, bytes],
+) -> Iterator[dict[RowName, bytes]]:
+    batch: dict[RowName, bytes] = {}
+    for name, value in writes.items():
+        size = sum(map(len, batch.values())) + len(value)
+        if batch and (len(batch) >= MAX_ROWS or size > MAX_BYTES):
+            yield batch
+            batch = {}
+        batch[name] = value
+    yield batch
--- a/tests/test_key_ownership.py
+++ b/tests/test_key_ownership.py
@@ -8,7 +8,11 @@
 
 import pytest
 
-from oriolearch.coordinator_rows import decode_ranges, encode_ranges
+from oriolearch.coordinator_rows import (
+    decode_era,
+    decode_ranges,
+    encode_ranges,
+)
 from oriolearch.core.balance import (
     RANGES_PER_UPSTREAM,
     KeyRates,
@@ -975,3 +979,41 @@
     fleet.ownership.record_no_answer(fleet.now, A)
     assert not fleet.ownership.is_lost(fleet.now + LOST_AFTER_S / 2, A)
     assert fleet.ownership.is_lost(fleet.now + LOST_AFTER_S * 1.1, A)
+
+
+@pytest.mark.parametrize('count', [1, 400], ids=['plain', 'packed'])
+@pytest.mark.parametrize('era', [0, 7])
+def test_row_names_the_era_in_which_it_was_written(
+    era: int, count: int
+) -> None:
+    """Fails if a successor trusts owners that a store may have lost."""
+    ranges = make_even_ranges([A for _ in range(count)])
+    assert decode_era(encode_ranges(tuple(ranges), 9, era)) == era
+
+
+@pytest.mark.parametrize(
+    'value',
+    [None, b'', b'[]', b'{"ranges":[]}', b'{"era":"x"}', b'\xff'],
+)
+def test_unreadable_row_is_of_no_era(value: bytes | None) -> None:
+    """Fails if a row without an era counts as one of the present era."""
+    assert decode_era(value) == 0
+
+
+def test_no_upstream_is_called_while_others_may_hold_the_keys() -> None:
+    """Fails if owners of an outdated row get keys that others still hold.
+
+    The end of the wait is lowered once the predecessor is known to have ended.
+    """
+    ownership = KeyOwnership(
+        0.0, make_even_ranges([A, B]), 100, LEASE_S, RENEW_S, 20.0, 20.0
+    )
+    ownership.set_upstreams({ref: entry(ref) for ref in (A, B)})
+    ownership.record_store_success(0.0, 1)
+    assert not ownership.step(5.0)
+    unowned = ownership.snapshot(5.0)
+    assert {keys.expected_at for keys in unowned} == {20.0}
+    ownership.limit_predecessor_leases(6.0)
+    assert not ownership.step(5.9)
+    grants = ownership.step(6.0)
+    assert len(grants) == 2
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -1,16 +1,24 @@
 """Hosts whose store comes back from an earlier copy."""
 
 import asyncio
+from collections.abc import Awaitable, Callable, Iterable, Iterator
+from contextlib import contextmanager
 
 import pytest
 
-from oriolearch.coordinator_rows import COORDINATOR_ROW, decode_coordinator
+from oriolearch.clock import lease_clock
+from oriolearch.coordinator_rows import (
+    COORDINATOR_ROW,
+    OWNER_TABLE,
+    decode_coordinator,
+)
 from oriolearch.core.versions import StoreVersion
 from oriolearch.leadership import Leadership
 from oriolearch.platform.daemon import HostDaemon
 from oriolearch.ports import StoredRow
-from tests.platform_standin import make_document, make_rule
+from tests.platform_standin import StoreCopy, make_document, make_rule
 from tests.test_platform_host import (
+    KEYS,
     Installation,
     coordinator_host,
     run_scenario,
@@ -20,6 +28,7 @@
 
 CONFIG_S = 2.0  # bound of the platform for a new configuration
 RECOVER_S = 20.0  # the longest authority and lease of a lost coordinator
+SERVED_S = 2.0  # until keys are served again after a planned change
 RESTORED_S = 2.0  # until a coordinator has written its rows again
 REFILL_S = 0.15  # until the operator has written again
 ROUTES = [make_rule('order', 'unsafe', 1.2)]
@@ -243,3 +252,179 @@
         await installation.wait_until_all_served()
 
     run_scenario(scenario, hosts=4, era=1)
+
+
+class HolderCheck:
+    """Watches which servers hold each key, and with which tokens.
+
+    :ivar shared: keys that two servers held at once.
+    """
+
+    def __init__(self, installation: Installation) -> None:
+        self.installation = installation
+        self.shared: set[int] = set()
+
+    async def watch(self) -> None:
+        while True:
+            for key in KEYS:
+                holders = [
+                    server.name
+                    for server in self.installation.servers
+                    if server.holds(key)
+                ]
+                if len(holders) > 1:
+                    self.shared.add(key)
+            await asyncio.sleep(0.01)
+
+    def falling_tokens(self) -> list[tuple[str, int]]:
+        """Return servers and keys that got a lower token than before."""
+        return [
+            (server.name, key)
+            for server in self.installation.servers
+            for key in KEYS
+            if _has_fall(
+                fence
+                for first, last, fence in server.fences
+                if first <= key <= last
+            )
+        ]
+
+
+def _has_fall(fences: Iterable[int]) -> bool:
+    granted = list(fences)
+    return granted != sorted(granted)
+
+
+@contextmanager
+def checked_holders(installation: Installation) -> Iterator[None]:
+    """Check that no two servers hold a key at once."""
+    check = HolderCheck(installation)
+    task = asyncio.get_running_loop().create_task(check.watch())
+    try:
+        yield
+    finally:
+        task.cancel()
+    assert not check.shared
+    assert not check.falling_tokens()
+
+
+async def move_keys(installation: Installation) -> StoreCopy:
+    """Move keys to another server; return a copy of the store before that."""
+    leadership = leadership_of(coordinator_host(installation))
+    balancer = leadership.balancer_of('orders')
+    balancer.plan = lambda ownership: iter(())  # type: ignore[method-assign]
+    ownership = leadership.pools['orders']
+    async with asyncio.timeout(5):
+        while ownership.has_open_moves():
+            await asyncio.sleep(0.02)
+    copy = installation.store.copy()
+    keys = ownership.ranges[0]
+    target = next(ref for ref in ownership.upstreams if ref != keys.owner)
+    assert ownership.plan_move(lease_clock(), keys.first, keys.last, target)
+    server = next(
+        server for server in installation.servers if server.name == target.name
+    )
+    async with asyncio.timeout(5):
+        while ownership.has_open_moves() or not server.holds(0):
+            await asyncio.sleep(0.02)
+    return copy
+
+
+async def stop_coordinator(installation: Installation) -> None:
+    host = coordinator_host(installation)
+    await host.coordination.stop()
+    installation.kill(host)
+
+
+async def stop_later(installation: Installation) -> None:
+    await asyncio.sleep(0.5)
+    await stop_coordinator(installation)
+
+
+async def kill_at_once(installation: Installation) -> None:
+    installation.kill(coordinator_host(installation))
+
+
+async def kill_later(installation: Installation) -> None:
+    await asyncio.sleep(0.8)
+    await kill_at_once(installation)
+
+
+async def kill_all(installation: Installation) -> None:
+    for host in list(installation.hosts):
+        installation.kill(host)
+    await installation.add_host('h9')
+
+
+async def restore_again(installation: Installation) -> None:
+    store = installation.store
+    await asyncio.sleep(0.1)
+    store.restore(store.copy())
+    await stop_later(installation)
+
+
+async def leave_coordinator(installation: Installation) -> None:
+    await asyncio.sleep(1.0)
+
+
+@pytest.mark.parametrize(
+    'event',
+    [
+        leave_coordinator,
+        stop_coordinator,
+        stop_later,
+        kill_at_once,
+        kill_later,
+        kill_all,
+        restore_again,
+    ],
+)
+def test_owners_that_the_store_lost(
+    event: Callable[[Installation], Awaitable[None]],
+) -> None:
+    """Guard against two servers that hold the same keys (OWNER).
+
+    The store lost a move of keys. The coordinator did not write the owners
+    again, and its successor moved the same keys once more, from the owners of
+    before to other servers than those that held them.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        store = installation.store
+        await wait_for_witnesses(installation)
+        await wait_until_restored(installation)
+        await installation.wait_until_all_served()
+        copy = await move_keys(installation)
+        with checked_holders(installation):
+            store.restore(copy)
+            await event(installation)
+            async with asyncio.timeout(RECOVER_S):
+                while set(await installation.send_orders()) != {200}:
+                    await asyncio.sleep(0.2)
+            await asyncio.sleep(1.0)
+
+    run_scenario(scenario, servers=5, hosts=4, era=1)
+
+
+def test_owners_are_written_again_before_a_planned_stop() -> None:
+    """Guard against keys without service while a coordinator stops.
+
+    Its successor trusts no owners of an earlier era, and waits for the end of
+    the longest lease.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        store = installation.store
+        await wait_for_witnesses(installation)
+        await wait_until_restored(installation)
+        copy = await move_keys(installation)
+        store.restore(copy)
+        lost = store.rows[OWNER_TABLE, 'orders']
+        await stop_later(installation)
+        await wait_for_coordinator(installation)
+        assert store.rows[OWNER_TABLE, 'orders'] != lost
+        async with asyncio.timeout(SERVED_S):
+            while set(await installation.send_orders()) != {200}:
+                await asyncio.sleep(0.02)
+
+    run_scenario(scenario, servers=5, hosts=4, era=1)
