Refuse promises to takeovers that the store may have lost

Change: the request for an acknowledgement names the era of the store. A host answers no request for a promise whose sender took over in an earlier era than the host knows of. A majority that has acknowledged the coordinator in the new era can therefore not promise to a lost successor any more, so the coordinator needs no restricted authority afterwards, and that rule is taken out again. The row that is written again names a least term for the next coordinator.

New tests: test_witness_promises_nothing_for_a_takeover_that_may_be_lost and test_term_after_a_return_is_above_all_lost_ones.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -115,9 +115,6 @@
 # A coordinator whose row the store has lost notices that, and writes it again,
 # within this time.
 RESTORE_TIME_S = 2.0
-# Terms that a store may have lost when it comes back from a copy some seconds
-# old, at most. A new term is above all of them.
-MAX_LOST_TERMS = 1000
 # Between takeover attempts while the store does not answer.
 MAX_STORE_BACKOFF_S = 1.5
 # Between attempts to replace a coordinator that cannot write to the store.
@@ -153,6 +150,8 @@
         may grant and renew leases.
     :ivar is_cut_off: whether neither the coordinator, nor most of the other
         hosts, nor the store can be reached.
+    :ivar is_store_restored: whether the store came back from an earlier copy
+        since this host started.
     :ivar era_seen_at: when this host learned of the present era of the store.
     :ivar open_takeovers: number of takeovers whose outcome is not known yet.
     """
@@ -307,6 +306,10 @@
             else:
                 self._record_store_answer()
 
+    def store_era(self) -> int:
+        """Return the present era of the store."""
+        return self.relay.ledger.era
+
     def _record_era(self, is_restored: bool) -> None:
         """Read all tables anew if the store came back from an earlier copy."""
         self.era_seen_at = lease_clock()
@@ -742,6 +745,8 @@
         """Acknowledge the coordinator as one of its witnesses."""
         if message.get('kind') != 'acknowledge':
             return
+        if message.get('era'):
+            self.relay.ledger.record_era(int(message['era']))
         if self.promise.may_acknowledge(int(message['term'])):
             link.send({'kind': 'acknowledge', 'at': message['at']})
 
@@ -822,6 +827,9 @@
     async def _serve_connection(self, link: HostLink, first: Message) -> None:
         kind = first.get('kind')
         if kind in {'ask', 'promise'}:
+            era = int(first.get('era', self.store_era()))
+            if kind == 'promise' and era < self.store_era():
+                return  # the store may have lost the other host's takeover
             self.promise.refuse_up_to(int(first.get('term', 0)))
             leadership = self.leadership
             link.send(
@@ -1016,12 +1024,11 @@
 
     def _next_term(self) -> int:
         """Return a term above all earlier ones, also those that are lost."""
-        terms = [row.term for row in (self.row, self.stored_row) if row]
-        if not self.is_row_restored():
-            return max(terms, default=0) + 1
-        stored_era = self.stored_row.era if self.stored_row else 0
-        lost_eras = self.relay.ledger.era - stored_era
-        return max(terms, default=0) + 1 + MAX_LOST_TERMS * lost_eras
+        nobody = CoordinatorRow('', '', 0, '')
+        known = [row or nobody for row in (self.row, self.stored_row)]
+        if self.is_row_restored():
+            return max(row.next_term_in(self.store_era()) for row in known)
+        return max(row.next_term_in(row.era) for row in known)
 
     async def _take_over(
         self, reason: str, predecessor: CoordinatorRow | None
--- a/src/oriolearch/coordinator_rows.py
+++ b/src/oriolearch/coordinator_rows.py
@@ -26,6 +26,9 @@
 COMPRESS_FROM_BYTES = 4096  # smaller rows stay readable
 MAX_UNPACKED_BYTES = 8 * 1024 * 1024  # limits the decompression of a row
 MAX_EARLIER_TERMS = 4  # a successor waits for the end of older ones
+# Terms that a store may have lost when it comes back from a copy some seconds
+# old, at most.
+MAX_LOST_TERMS = 1000
 WITNESS_ROW = RowName('oriolearch-witnesses', 'witnesses')
 
 
@@ -35,6 +38,8 @@
 
     :param era: era of the store in which the row was written. In a later one,
         the store has come back from a copy and may have lost later terms.
+    :param min_next_term: lower terms may have been given out by takeovers that
+        the store has lost.
     :param is_leaving: the coordinator's host is shutting down, and coordinates
         until another host takes over.
     :param earlier: rows of the terms just before, newest first and without
@@ -49,6 +54,7 @@
     is_leaving: bool = False
     earlier: tuple['CoordinatorRow', ...] = ()
     era: int = 0
+    min_next_term: int = 0
 
     def encode(self) -> bytes:
         """Return the row's value."""
@@ -60,6 +66,7 @@
                 'nonce': self.nonce,
                 'leaving': self.is_leaving,
                 'era': self.era,
+                'min_next_term': self.min_next_term,
                 'earlier': [
                     [row.host, row.address, row.term, row.nonce]
                     for row in self.earlier
@@ -67,6 +74,14 @@
             },
         ).encode()
 
+    def next_term_in(self, era: int) -> int:
+        """Return a term above all that were given out before an era.
+
+        A store that came back from a copy may have lost the latest ones.
+        """
+        lost = MAX_LOST_TERMS * max(era - self.era, 0)
+        return max(self.term + 1 + lost, self.min_next_term)
+
     def known_terms(self) -> tuple['CoordinatorRow', ...]:
         """Return the rows of this term and of the earlier ones it names."""
         own = CoordinatorRow(self.host, self.address, self.term, self.nonce)
@@ -92,6 +107,7 @@
                 for host, address, term, nonce in fields.get('earlier', ())
             ),
             int(fields.get('era', 0)),
+            int(fields.get('min_next_term', 0)),
         )
     except MALFORMED_ERRORS:
         return None
--- a/src/oriolearch/core/witnesses.py
+++ b/src/oriolearch/core/witnesses.py
@@ -14,6 +14,11 @@
 That a predecessor has ended proves nothing about the coordinators before it,
 which may be cut off and still act. The row therefore says which earlier terms
 are over, and names the witnesses of those that may not be.
+
+A store that comes back from an earlier copy may have lost a takeover. The
+predecessor stays coordinator if a majority of its witnesses acknowledges it in
+the new era of the store. These learn the era with the request, and from then on
+promise nothing to a successor that took over in an earlier one.
 """
 
 import json
@@ -134,17 +139,8 @@
 
     Times come from a clock that also counts suspended time.
 
-    A store that came back from an earlier copy may have lost the takeover of a
-    successor that the witnesses follow. Until a confirmation in the new era is
-    so late that such a successor, which the store confirms no more, has lost
-    its authority, only the witnesses of before extend the authority.
-
     :param confirmed_at: start of the latest store request that confirmed the
         coordinator.
-    :ivar doubted_groups: groups of witnesses that the store may have named
-        before it came back from a copy.
-    :ivar doubted_until: confirmations that began earlier may have missed a
-        successor that the store has lost.
     :ivar groups: groups of witnesses that the store may name.
     :ivar acknowledged_at: start of the latest acknowledged request by process
         ID of the witness.
@@ -154,30 +150,15 @@
         self.confirmed_at = confirmed_at
         self.groups: list[tuple[Witness, ...]] = [()]
         self.acknowledged_at: dict[str, float] = {}
-        self.doubted_groups: list[tuple[Witness, ...]] = []
-        self.doubted_until = LONG_AGO
-
-    def needed_groups(self) -> list[tuple[Witness, ...]]:
-        """Return the groups whose acknowledgements count at present."""
-        if self._is_doubted():
-            return [*self.groups, *self.doubted_groups]
-        return self.groups
 
-    def record_new_era(self, now: float) -> None:
-        """Record that the store has come back from an earlier copy.
+    def is_acknowledged_since(self, asked_at: float) -> bool:
+        """Return whether all groups acknowledged a request since a time.
 
-        Without witnesses, a successor had to wait for the longest authority.
+        Without witnesses, a successor has to wait for the longest authority.
         """
-        groups = [group for group in self.needed_groups() if group]
-        self.doubted_groups = groups
-        if groups:
-            self.doubted_until = now + LONG_AUTHORITY_S
-
-    def is_acknowledged_since(self, asked_at: float) -> bool:
-        """Return whether all groups acknowledged a request since a time."""
         return all(
             self.acknowledged_until(group) >= asked_at + ACKNOWLEDGED_S
-            for group in self.needed_groups()
+            for group in self.groups
             if group
         )
 
@@ -200,9 +181,7 @@
     def record_stored_group(self, group: Iterable[Witness]) -> None:
         """Record that a group is stored."""
         self.groups = [tuple(group)]
-        runs = {
-            witness.run for group in self.needed_groups() for witness in group
-        }
+        runs = {witness.run for witness in self.groups[0]}
         self.acknowledged_at = {
             run: at for run, at in self.acknowledged_at.items() if run in runs
         }
@@ -220,7 +199,7 @@
 
     def ends_at(self) -> float:
         """Return when the authority ends unless it is extended."""
-        return min(self._until(group) for group in self.needed_groups())
+        return min(self._until(group) for group in self.groups)
 
     def needs_store(self, now: float) -> bool:
         """Check whether the store must confirm the coordinator soon."""
@@ -230,13 +209,10 @@
         longest = self.confirmed_at + LONG_AUTHORITY_S
         if not group:
             return longest
-        acknowledged = min(self.acknowledged_until(group), longest)
-        if self._is_doubted():
-            return acknowledged
-        return max(self.confirmed_at + SHORT_AUTHORITY_S, acknowledged)
-
-    def _is_doubted(self) -> bool:
-        return self.confirmed_at < self.doubted_until
+        return max(
+            self.confirmed_at + SHORT_AUTHORITY_S,
+            min(self.acknowledged_until(group), longest),
+        )
 
 
 class Promise:
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -109,6 +109,9 @@
     def end_term(self, reason: str) -> None:
         """End the term."""
 
+    def store_era(self) -> int:
+        """Return the present era of the store."""
+
     def table_ages(self) -> dict[str, float]:
         """Return for how long each table was not known to be up to date."""
 
@@ -181,7 +184,6 @@
     def begin_restoring(self, now: float) -> None:
         """Record that the store may have lost rows of this term."""
         self.restoring_since = now
-        self.authority.record_new_era(now)
 
     def begin_storing_pools(self, now: float) -> dict[str, Store]:
         """Return writes of the owners of all pools, whatever is stored."""
@@ -356,13 +358,16 @@
     def _ask_witnesses(self, now: float) -> None:
         """Ask the witnesses to acknowledge this coordinator."""
         runs = {
-            witness.run
-            for group in self.authority.needed_groups()
-            for witness in group
+            witness.run for group in self.authority.groups for witness in group
         }
         self.members.send_to_runs(
             runs,
-            {'kind': 'acknowledge', 'term': self.row.term, 'at': now},
+            {
+                'kind': 'acknowledge',
+                'term': self.row.term,
+                'at': now,
+                'era': self.local_host.store_era(),
+            },
         )
 
     def _yield_to_larger(self, now: float) -> bool:
--- a/src/oriolearch/restoring.py
+++ b/src/oriolearch/restoring.py
@@ -7,7 +7,8 @@
 The store may have lost the takeover of a successor, too. If that one may act,
 a majority of the coordinator's witnesses has promised it not to acknowledge the
 coordinator any more. So the coordinator writes nothing before a majority has
-acknowledged it in the new era.
+acknowledged it in the new era. From then on these witnesses promise nothing to
+a successor of an earlier era.
 """
 
 import asyncio
@@ -44,9 +45,12 @@
     """The host of the coordinator, as far as its row is concerned.
 
     :ivar row_version: version of the coordinator row in the store.
+    :ivar is_store_restored: whether the store came back from a copy since this
+        host started.
     """
 
     row_version: StoreVersion
+    is_store_restored: bool
 
     async def read_coordinator_row(self) -> None:
         """Read the coordinator row; end the term if another host took over."""
@@ -119,7 +123,16 @@
             COORDINATOR_ROW: self.host.row_version,
             **_versions(chain.from_iterable(state.rows for state in states)),
         }
-        row = replace(leadership.row, era=era, is_leaving=leadership.is_leaving)
+        row = replace(
+            leadership.row,
+            era=era,
+            is_leaving=leadership.is_leaving,
+            min_next_term=(
+                leadership.row.next_term_in(era)
+                if self.host.is_store_restored
+                else 0
+            ),
+        )
         witnesses = replace(
             leadership.make_witness_row(leadership.witnesses), era=era
         )
--- a/src/oriolearch/succession.py
+++ b/src/oriolearch/succession.py
@@ -90,6 +90,18 @@
                 in_s=round(end.over_at - lease_clock(), 3),
             )
 
+    def _question(self, term: int) -> Message:
+        """Return the request not to act for a term any more.
+
+        Hosts that know of a later era of the store do not answer it, since the
+        store may have lost this takeover.
+        """
+        return {
+            'kind': 'promise',
+            'term': term,
+            'era': self.leadership.row.era,
+        }
+
     async def _ask_coordinator(
         self,
         row: CoordinatorRow,
@@ -100,9 +112,7 @@
         A host whose takeover is not answered yet promises not to begin it.
         """
         try:
-            answer = await ask(
-                row.address, {'kind': 'promise', 'term': row.term}
-            )
+            answer = await ask(row.address, self._question(row.term))
         except PeerError:
             # The coordinator may be partitioned and still act: no proof.
             return
@@ -117,10 +127,7 @@
         end: PredecessorEnd,
     ) -> None:
         try:
-            answer = await ask(
-                witness.address,
-                {'kind': 'promise', 'term': term},
-            )
+            answer = await ask(witness.address, self._question(term))
         except PeerError:
             # The witness may be partitioned and still acknowledge the
             # coordinator: no proof.
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -12,10 +12,12 @@
     OWNER_TABLE,
     decode_coordinator,
 )
+from oriolearch.core.errors import PeerError
 from oriolearch.core.versions import StoreVersion
 from oriolearch.leadership import Leadership
 from oriolearch.platform.daemon import HostDaemon
 from oriolearch.ports import StoredRow
+from oriolearch.succession import ask
 from tests.platform_standin import StoreCopy, make_document, make_rule
 from tests.test_platform_host import (
     KEYS,
@@ -235,6 +237,57 @@
     run_scenario(scenario, hosts=4, era=1)
 
 
+def test_term_after_a_return_is_above_all_lost_ones() -> None:
+    """Guard against a term that is given out again.
+
+    The coordinator wrote its row again, but others may have taken over in the
+    part that the store lost.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        await wait_for_witnesses(installation)
+        await wait_until_restored(installation)
+        coordinator = coordinator_host(installation)
+        term = leadership_of(coordinator).row.term
+        installation.store.restore(installation.store.copy())
+        await wait_until_restored(installation)
+        assert stored_term(installation) == term
+        installation.kill(coordinator)
+        successor = await wait_for_coordinator(installation)
+        assert leadership_of(successor).row.term > term + 1
+        await installation.wait_until_all_served()
+
+    run_scenario(scenario, hosts=4, era=1)
+
+
+@pytest.mark.parametrize('era', [1, 2, 3])
+def test_witness_promises_nothing_for_a_takeover_that_may_be_lost(
+    era: int,
+) -> None:
+    """Guard against two coordinators that the same witnesses follow (OWNER).
+
+    The predecessor has written its rows again when a successor, whose takeover
+    the store lost, asks its witnesses.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        await wait_for_witnesses(installation)
+        await wait_until_restored(installation)
+        installation.store.restore(installation.store.copy())
+        await wait_until_restored(installation)
+        leadership = leadership_of(coordinator_host(installation))
+        question = {'kind': 'promise', 'term': 99, 'era': era}
+        for witness in leadership.witnesses:
+            if era >= leadership.row.era:
+                answer = await ask(witness.address, question)
+                assert answer['promised'] == 99
+                continue
+            with pytest.raises(PeerError):
+                await ask(witness.address, question)
+
+    run_scenario(scenario, hosts=4, era=1)
+
+
 def test_store_that_comes_back_twice() -> None:
     """Guard against a row that is written for an era that is over."""
 
