--- a/tests/faultsoak/faults.py
+++ b/tests/faultsoak/faults.py
@@ -1,6 +1,7 @@
 """Random faults of a seed: overlapping series of faults."""
 
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 HOST_FAULTS = ('pause', 'kill', 'stop', 'reload', 'store_cut', 'peers_cut')
@@ -15,6 +16,9 @@
 }
 # Upstreams that name a rate limit, or leave without telling the store.
 NOTICE_FAULTS = ('limit', 'leave')
+RESTORE_FAULT = 'restore'  # the store comes back from an earlier copy
+RESTORES_SHARE = 0.5  # fraction of the seeds with such faults
+MAX_COPY_AGE_S = 5.0
 NOTICE_S = 10.0  # the bound on limits needs 7 s
 MAX_SERIES_FAULTS = 3  # consecutive faults of one kind
 MAX_FAULT_S = 4.0
@@ -62,9 +66,33 @@
             start_s += duration_s * rng.uniform(0.3, 1.5)
         series_start_s += rng.uniform(0.5, 3.0)
     faults += _draw_notice_faults(seed, length_s)
+    faults += _draw_restore_faults(seed, length_s)
     return sorted(faults, key=lambda fault: fault.start_s)
 
 
+def has_restores(faults: Iterable[Fault]) -> bool:
+    """Return whether the store comes back from a copy in a run."""
+    return any(fault.kind == RESTORE_FAULT for fault in faults)
+
+
+def _draw_restore_faults(seed: int, length_s: float) -> list[Fault]:
+    """Return faults that are drawn apart, so that the others stay.
+
+    The store is away in the last second of each.
+    """
+    rng = random.Random(f'restores of {seed}')
+    if rng.random() >= RESTORES_SHARE:
+        return []
+    ages_s = [
+        rng.uniform(1.0, min(MAX_COPY_AGE_S, length_s - 1))
+        for _ in range(rng.randint(1, 2))
+    ]
+    return [
+        Fault(rng.uniform(0, length_s - age_s), age_s, RESTORE_FAULT, '', 0.0)
+        for age_s in ages_s
+    ]
+
+
 def _draw_notice_faults(seed: int, length_s: float) -> list[Fault]:
     """Return faults that are drawn apart, so that the others stay."""
     rng = random.Random(f'notices of {seed}')
--- a/tests/faultsoak/run.py
+++ b/tests/faultsoak/run.py
@@ -16,7 +16,12 @@
     LinkError,
     LinkPool,
 )
-from tests.faultsoak.faults import Fault, draw_faults
+from tests.faultsoak.faults import (
+    RESTORE_FAULT,
+    Fault,
+    draw_faults,
+    has_restores,
+)
 from tests.faultsoak.notices import Arrival, NoticeRecord
 from tests.faultsoak.promises import DELAYED_GRANT_S, PromiseChecker
 from tests.faultsoak.proxy import FaultProxy
@@ -44,6 +49,8 @@
 FIRST_PORT = 10000
 PORTS_PER_HOST = 4
 RATE_LIMIT = 6.0  # a seventh of what an upstream gets otherwise
+AWAY_S = 1.0  # the store does not answer before it is back from a copy
+REFILL_S = 0.1  # until the operator and the upstreams have written again
 INTERRUPTIONS = frozenset(('pause', 'kill', 'stop', 'all_killed'))
 EXIT_S = 0.5  # delay from the end of a drain to the exit of the upstream
 
@@ -82,6 +89,8 @@
         self.loop = asyncio.get_running_loop()
         self.started_at = self.loop.time()
         self.store = SoakStore()
+        if has_restores(self.faults):
+            self.store.era = 1
         self.version = 7
         self.hosts: list[HostProcess] = []
         self.store_proxies: list[FaultProxy] = []
@@ -166,6 +175,7 @@
         self.host_faults_ended_at[name] = self.now()
         host = HostProcess(fields, self.folder)
         self.hosts.append(host)
+        host.write_settings(is_first_start=has_restores(self.faults))
         host.start()
 
     async def _close(self) -> None:
@@ -302,9 +312,11 @@
             'all_killed': self._kill_all_hosts,
             'limit': self._limit_server,
             'leave': self._let_server_leave,
+            RESTORE_FAULT: self._restore_store,
         }
         await actions.get(fault.kind, self._disturb_store)(fault)
-        self.last_fault_ended_at = self.now()
+        if fault.kind != RESTORE_FAULT:  # which delays no call to an upstream
+            self.last_fault_ended_at = self.now()
 
     def _select_host(self, fault: Fault) -> int:
         index = int(fault.choice * len(self.hosts))
@@ -494,6 +506,17 @@
         else:
             store.forget_history()
 
+    async def _restore_store(self, fault: Fault) -> None:
+        """Let the store be away, and come back from a copy."""
+        copy = self.store.copy()
+        await asyncio.sleep(fault.duration_s - AWAY_S)
+        self.store.is_closing = True
+        await asyncio.sleep(AWAY_S)
+        self.store.restore(copy)
+        self.store.is_closing = False
+        await asyncio.sleep(REFILL_S)
+        self.store.refill()
+
     async def _configure(self, fault: Fault) -> None:
         self.version += 3
         self.store.put('op', 'config', configuration(self.version))
--- a/tests/faultsoak/world.py
+++ b/tests/faultsoak/world.py
@@ -194,7 +194,6 @@
         self.fields = fields
         self.name = str(fields['node'])
         self.settings = folder / f'{self.name}.toml'
-        self.settings.write_text(render_toml(fields), 'utf-8')
         self.log = folder / f'{self.name}.log'
         self.process: asyncio.subprocess.Process | None = None
         self.is_stopped = False
@@ -207,6 +206,10 @@
             self._supervise()
         )
 
+    def write_settings(self, *, is_first_start: bool) -> None:
+        fields = {**self.fields, 'bootstrap': is_first_start}
+        self.settings.write_text(render_toml(fields), 'utf-8')
+
     async def _supervise(self) -> None:
         environment = {
             **os.environ,
@@ -223,6 +226,7 @@
                     stderr=output,
                 )
             status = await self.process.wait()
+            self.write_settings(is_first_start=False)
             if not self.is_stop_expected and not self.is_stopped:
                 self.unexpected_exits.append(
                     f'{self.name} exited unexpectedly with status {status}'
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -250,6 +250,7 @@
         }
         self.rows = dict(copy.rows)
         self.version = copy.version
+        self.oldest = min(self.oldest, copy.version)
         self.era = (self.era or 0) + 1
         self.changed.set()
         self.changed = asyncio.Event()
