--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -774,7 +774,9 @@
         """Update the hosts that dispatch, with their capacity and zone."""
         self.host_count = len(hosts)
         self.peers = choose_peers(hosts, self.address, self.rng)
-        self.forwarder.reservation_router.set_dispatching_hosts(hosts, zones)
+        router = self.forwarder.reservation_router
+        router.set_dispatching_hosts(hosts, zones)
+        router.is_listed = True
 
     def update_owners(
         self,
--- a/src/oriolearch/core/dispatching.py
+++ b/src/oriolearch/core/dispatching.py
@@ -75,6 +75,9 @@
         together; may change at any time.
     :ivar rate_share: returns the part of an upstream's rate limit, and of its
         rate in a cold start, that this dispatcher may use.
+    :ivar may_use_cold: returns whether upstreams in a cold start may get
+        requests at all. A host that has just started knows no other hosts. All
+        of them may have started with it, so it leaves cold upstreams alone.
     """
 
     def __init__(
@@ -88,6 +91,7 @@
         self.rng = rng
         self.rate_limits = {} if rate_limits is None else rate_limits
         self.rate_share: Callable[[Incarnation], float] = _whole_limit
+        self.may_use_cold: Callable[[], bool] = _always
         self.upstreams: dict[Incarnation, UpstreamState] = {}
         self.waiting: list[QueuedRequest] = []
         self.cold_burst = cold_burst
@@ -400,7 +404,9 @@
     def _refill_cold(self, now: float, upstream: UpstreamState) -> None:
         # Requests of the last second, assigned before the cold start was
         # known, count as well. A second later they no longer do.
-        share = self.rate_share(upstream.entry.ref)
+        share = 0.0
+        if self.may_use_cold():
+            share = self.rate_share(upstream.entry.ref)
         upstream.cold_tokens.refill(
             now,
             self.plan.cold_rate * share,
@@ -614,6 +620,10 @@
         return [upstream] if upstream else []
 
 
+def _always() -> bool:
+    return True
+
+
 def _whole_limit(ref: Incarnation) -> float:
     return 1.0
 
--- a/src/oriolearch/forwarding.py
+++ b/src/oriolearch/forwarding.py
@@ -274,6 +274,7 @@
                 plan, self.rng, self.cold_burst, self.notices.rate_limits
             )
             dispatcher.rate_share = self._make_rate_share(plan)
+            dispatcher.may_use_cold = self.reservation_router.knows_hosts
             self.local_dispatch.dispatchers[plan.name] = dispatcher
             self.retries[plan.name] = Budget(
                 self.retry_share,
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -207,7 +207,9 @@
 
         :param rows: the rows of the present era before that.
         """
-        self.stored_rows = {row.key: row for row in rows}
+        self.stored_rows = {
+            row.key: row for row in rows if row.table == OWNER_TABLE
+        }
         for pool, ownership in self.pools.items():
             if pool in stores:
                 self.pool_versions[pool] = version
--- a/src/oriolearch/placing.py
+++ b/src/oriolearch/placing.py
@@ -523,6 +523,7 @@
 
     :param address: of this host, as the coordinator lists it.
     :ivar hosts: capacity of each host that dispatches, by address.
+    :ivar is_listed: whether a coordinator has named the hosts that dispatch.
     :ivar is_list_confirmed: returns whether the list of these hosts is
         certainly that of all others.
     :ivar renew: returns the future that replaces one that has failed.
@@ -543,6 +544,7 @@
         self.owner_hosts = _Rendezvous()
         self.pool_hosts = _Rendezvous()
         self.clients: dict[str, DispatchClient] = {}
+        self.is_listed = False
         self.is_list_confirmed: Callable[[], bool] = _is_confirmed
         self.renew: Callable[[ReservationFuture], ReservationFuture] = _renew
         self.set_dispatching_hosts({address: 1.0})
@@ -609,6 +611,10 @@
             return SUBSTITUTES_RATE_SHARE / len(self.hosts)
         return 1.0 if self.is_list_confirmed() else UNCONFIRMED_RATE_SHARE
 
+    def knows_hosts(self) -> bool:
+        """Return whether a coordinator has named the dispatching hosts."""
+        return self.is_listed
+
     async def reserve(
         self,
         pool: str,
--- a/src/oriolearch/restoring.py
+++ b/src/oriolearch/restoring.py
@@ -116,28 +116,13 @@
         """
         leadership = self.leadership
         era = self.ledger.era
-        states = await asyncio.gather(
-            self.store.read(WITNESS_ROW.table), self.store.read(OWNER_TABLE)
-        )
-        versions = {
-            COORDINATOR_ROW: self.host.row_version,
-            **_versions(chain.from_iterable(state.rows for state in states)),
-        }
-        row = replace(
-            leadership.row,
-            era=era,
-            is_leaving=leadership.is_leaving,
-            min_next_term=(
-                leadership.row.next_term_in(era)
-                if self.host.is_store_restored
-                else 0
-            ),
-        )
+        stored = await self._read_rows()
+        sent_at = lease_clock()
+        row = self._make_row(era)
         witnesses = replace(
             leadership.make_witness_row(leadership.witnesses), era=era
         )
-        now = lease_clock()
-        stores = leadership.begin_storing_pools(now)
+        stores = leadership.begin_storing_pools(sent_at)
         writes = {
             RowName(OWNER_TABLE, pool): encode_ranges(
                 store.ranges, store.revision, era
@@ -149,37 +134,67 @@
             writes[WITNESS_ROW] = witnesses.encode()
         writes[COORDINATOR_ROW] = row.encode()
         try:
-            version = await self._commit(writes, versions)
+            version = await self._commit(writes, _versions(stored))
         except PlatformError:
             leadership.end_storing_pools(lease_clock())
             raise
-        waited_s = now - (leadership.restoring_since or now)
+        self._log_written(row, len(writes), sent_at)
         self.host.record_own_row(row, version)
-        leadership.record_stored_pools(stores, version, states[1].rows)
-        leadership.record_restored(row, version, now)
+        leadership.record_restored(row, version, sent_at)
+        leadership.record_stored_pools(stores, version, stored)
         if witnesses.witnesses:
             leadership.record_witnesses(witnesses, version)
         elif leadership.witness_version is not None:
-            leadership.witness_version = versions.get(WITNESS_ROW, ABSENT)
+            leadership.witness_version = _versions(stored).get(
+                WITNESS_ROW, ABSENT
+            )
+
+    def _make_row(self, era: int) -> CoordinatorRow:
+        """Return the coordinator row of this term for an era."""
+        row = self.leadership.row
+        return replace(
+            row,
+            era=era,
+            is_leaving=self.leadership.is_leaving,
+            min_next_term=(
+                row.next_term_in(era) if self.host.is_store_restored else 0
+            ),
+        )
+
+    def _log_written(
+        self, row: CoordinatorRow, count: int, sent_at: float
+    ) -> None:
+        waited_s = sent_at - (self.leadership.restoring_since or sent_at)
         self.log.emit(
             Event.ROWS_RESTORED,
             term=row.term,
-            era=era,
-            rows=len(writes),
+            era=row.era,
+            rows=count,
             waited_s=round(waited_s, 3),
         )
 
+    async def _read_rows(self) -> tuple[StoredRow, ...]:
+        """Return the witnesses and the owners as the store has them now."""
+        states = await asyncio.gather(
+            self.store.read(WITNESS_ROW.table), self.store.read(OWNER_TABLE)
+        )
+        return tuple(chain.from_iterable(state.rows for state in states))
+
     async def _commit(
         self,
         writes: Mapping[RowName, bytes],
         versions: Mapping[RowName, StoreVersion],
     ) -> StoreVersion:
-        """Write rows in as few transactions as the store's limits allow."""
+        """Write rows in as few transactions as the store's limits allow.
+
+        :param versions: of the rows that exist, but for the coordinator row.
+        """
+        known = {COORDINATOR_ROW: self.host.row_version, **versions}
         version = ABSENT
         for batch in _batches(writes):
             names = {COORDINATOR_ROW, *batch}
             version = await self.store.commit(
-                {name: versions.get(name, ABSENT) for name in names}, batch
+                {name: known.get(name, ABSENT) for name in names}, batch
             )
         return version
 
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -875,6 +875,31 @@
     return sum(request.assigned_to is not None for request in requests)
 
 
+def test_cold_upstream_gets_nothing_of_a_host_that_knows_no_others() -> None:
+    """Fails if hosts that know no others overload a cold upstream (FAILBACK).
+
+    Load pattern: all hosts start at once with queued requests, while the
+    upstream is cold. It gets no burst either when the hosts are known.
+    """
+    knows_hosts = False
+    dispatcher = Dispatcher(plan(), random.Random(1), 2.5)
+    dispatcher.may_use_cold = lambda: knows_hosts
+    dispatcher.set_upstreams(0.0, [entry(A)], [A], {A: 60.0})
+    starts: list[int] = []
+    for step in range(300):
+        now = step * STEP_S
+        knows_hosts = step >= 200
+        request = make_request(deadline=now + 0.05)
+        dispatcher.submit(now, request)
+        if request.assigned_to is not None:
+            starts.append(step)
+            dispatcher.release(request)
+        dispatcher.withdraw(request)
+    assert starts
+    assert min(starts) >= 200
+    assert len(starts) <= dispatcher.plan.cold_rate + 1
+
+
 def test_hosts_that_replace_a_dispatching_host_do_not_fill_an_upstream() -> (
     None
 ):
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -279,6 +279,20 @@
     assert unconfirmed <= UNCONFIRMED_RATE_SHARE
 
 
+def test_hosts_that_start_together_leave_cold_upstreams_alone() -> None:
+    """Guard against cold upstreams that fall over (FAILBACK).
+
+    All hosts were killed while upstreams were cold. Each one that came back
+    took itself for the only dispatching host until it heard a coordinator, and
+    used half of the rate that a cold upstream bears.
+    """
+    router = ReservationRouter('h1', LocalDispatch())
+    assert not router.knows_hosts()
+    assert int(router.rate_share('orders', OWNERS[0])) == 1
+    router.is_listed = True
+    assert router.knows_hosts()
+
+
 def test_reservation_names_the_upstreams_to_avoid() -> None:
     """Guard against a reservation that its host may not use.
 
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -281,6 +281,20 @@
     run_scenario(scenario)
 
 
+def test_hosts_learn_which_hosts_dispatch() -> None:
+    """Guard against cold upstreams that no host ever sends a request."""
+
+    async def scenario(installation: Installation) -> None:
+        routers = [
+            host.forwarder.reservation_router for host in installation.hosts
+        ]
+        async with asyncio.timeout(5):
+            while not all(router.is_listed for router in routers):
+                await asyncio.sleep(0.02)
+
+    run_scenario(scenario, hosts=3)
+
+
 def test_coordinator_that_is_killed_is_replaced() -> None:
     """Guard against leases that expire after the coordinator's end."""
 
