Trust rows of the previous version of the program

What callers saw, in a trial with an old and two new hosts and a store that names its era: after the old coordinator had stopped as planned, its successor trusted no row, as none named an era, and every request for a key got 503 for seconds.

Change: a row without an era counts as written in the era in which it was read. This works since only the previous version writes such rows, and a drill of the store in the middle of an update would have to come on top.

--- a/src/oriolearch/coordinator_rows.py
+++ b/src/oriolearch/coordinator_rows.py
@@ -93,7 +93,11 @@
 
 
 def decode_coordinator(row: StoredRow) -> CoordinatorRow | None:
-    """Return the decoded coordinator row, or ``None`` if unreadable."""
+    """Return the decoded coordinator row, or ``None`` if unreadable.
+
+    A row that names no era, which an older version of the program wrote, counts
+    as written in the era in which it was read.
+    """
     try:
         fields = json.loads(row.value or b'')
         return CoordinatorRow(
@@ -106,7 +110,7 @@
                 CoordinatorRow(str(host), str(address), int(term), str(nonce))
                 for host, address, term, nonce in fields.get('earlier', ())
             ),
-            int(fields.get('era', 0)),
+            int(fields.get('era', row.version.era)),
             int(fields.get('min_next_term', 0)),
         )
     except MALFORMED_ERRORS:
@@ -182,17 +186,21 @@
     return fields if isinstance(fields, dict) else {}
 
 
-def decode_era(value: bytes | None) -> int:
-    """Return the era in which a pool's row was written; 0 if unreadable."""
+def decode_era(row: StoredRow) -> int:
+    """Return the era in which a pool's row was written; 0 if unreadable.
+
+    Without one, it counts as written in the era in which it was read.
+    """
     try:
-        return int(_load_fields(value or b'').get('era', 0))
+        fields = _load_fields(row.value or b'')
+        return int(fields.get('era', row.version.era))
     except MALFORMED_ERRORS:
         return 0
 
 
 def is_outdated(row: StoredRow) -> bool:
     """Return whether the store may have lost later owners of a pool's keys."""
-    return decode_era(row.value) < row.version.era
+    return decode_era(row) < row.version.era
 
 
 def read_ranges(row: StoredRow, log: EventLog) -> list[KeyRange]:
--- a/src/oriolearch/core/witnesses.py
+++ b/src/oriolearch/core/witnesses.py
@@ -104,11 +104,13 @@
         return json.dumps(fields).encode()
 
 
-def decode_witnesses(value: bytes | None) -> WitnessRow:
+def decode_witnesses(value: bytes | None, era: int = 0) -> WitnessRow:
     """Decode the row; an unreadable one has term 0 and names no witnesses.
 
     Nothing is known of the terms before a row without ``over_before``, which
     an older version wrote.
+
+    :param era: era of a row that names none.
     """
     try:
         fields = json.loads(value or b'')
@@ -120,7 +122,7 @@
                 int(term): _decode_group(group)
                 for term, group in dict(fields.get('earlier', {})).items()
             },
-            int(fields.get('era', 0)),
+            int(fields.get('era', era)),
         )
     except MALFORMED_ERRORS:
         return WitnessRow(0)
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -514,7 +514,8 @@
         self.witness_version = row.version if row else ABSENT
         if row is None:
             return decode_witnesses(None)
-        return decode_witnesses(row.value).in_era(row.version.era)
+        era = row.version.era
+        return decode_witnesses(row.value, era).in_era(era)
 
     async def _read_table(self, table: str) -> tuple[StoredRow, ...]:
         """Read a table, with retries until the term is over."""
@@ -593,7 +594,7 @@
 
     def _lost_fences(self, stored: StoredRow | None) -> int:
         """Return by how much lost fencing tokens exceed those of a row."""
-        stored_era = decode_era(stored.value) if stored else 0
+        stored_era = decode_era(stored) if stored else 0
         return MAX_LOST_FENCES * max(self.row.era - stored_era, 1)
 
     def _reassign_unusable(self, now: float) -> None:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -1,6 +1,7 @@
 """Hosts whose store comes back from an earlier copy."""
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from contextlib import contextmanager
 
@@ -481,3 +482,20 @@
                 await asyncio.sleep(0.02)
 
     run_scenario(scenario, servers=5, hosts=4, era=1)
+
+
+def test_coordinator_row_of_an_older_version_is_of_the_present_era() -> None:
+    """Guard against a gap at the first takeover after an update."""
+    fields = {
+        'host': 'h',
+        'address': 'h:1',
+        'term': 3,
+        'nonce': 'n',
+        'leaving': True,
+    }
+    value = json.dumps(fields).encode()
+    name = COORDINATOR_ROW
+    row = StoredRow(name.table, name.key, value, StoreVersion(5, 1))
+    decoded = decode_coordinator(row)
+    assert decoded is not None
+    assert (decoded.era, decoded.next_term_in(5)) == (5, 4)
