Choose the host of an order when the order begins

Cause, in the test: an order's host was chosen when its task was created. If a host was killed before the task began, the index of the last of three hosts was out of range, the task group of the load ended with an IndexError, and nobody awaited it. The remaining orders were missing, and the check saw no arrivals. The output of the failed run is cut before the line that would name the error, so that the same race there is inferred: no arrival was later than the kill, and the seconds before it had many.

Ruled out by reading only: a limit that keeps all hosts away from the upstream; two hosts were not touched by the fault.

Change: the host is chosen when the order begins, and an error that ends the load fails the test. The bounds and the check are unchanged; an upstream that nothing reaches still fails the check, now by its assertion. New test: test_load_goes_on_when_a_host_is_killed.

--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -51,27 +51,53 @@
     """Send orders to all hosts in turn until cancelled."""
     async with asyncio.TaskGroup() as tasks:
         for number in count():
-            key = KEYS[number % len(KEYS)]
-            host = number % len(installation.hosts)
-            tasks.create_task(send_order(installation, key, host))
+            tasks.create_task(send_order(installation, number))
             await asyncio.sleep(1 / ORDERS_PER_S)
 
 
-async def send_order(installation: Installation, key: int, host: int) -> None:
+async def send_order(installation: Installation, number: int) -> None:
+    """Send an order to one of the hosts that there are when it starts."""
+    key = KEYS[number % len(KEYS)]
     # A host that is killed answers nothing.
     with suppress(LinkError):
-        await installation.send_order(key, host)
+        await installation.send_order(key, number % len(installation.hosts))
+
+
+async def stop_load(load: asyncio.Task[None]) -> None:
+    """Stop sending orders; raise what ended the load before."""
+    load.cancel()
+    with suppress(asyncio.CancelledError):
+        await load
 
 
 def busiest_window(arrivals: list[float], begins_at: float) -> int:
     """Return the most arrivals within the platform's window."""
     counted = [at for at in arrivals if at >= begins_at]
     return max(
-        sum(first <= at < first + WINDOW_S for at in counted)
-        for first in counted
+        (
+            sum(first <= at < first + WINDOW_S for at in counted)
+            for first in counted
+        ),
+        default=0,
     )
 
 
+def test_load_goes_on_when_a_host_is_killed() -> None:
+    """Guard against a load that ends unnoticed at the loss of a host.
+
+    An order was meant for the last of three hosts. When one of them was killed
+    before the order began, all later orders were missing as well.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        last = len(installation.hosts) - 1
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(send_order(installation, last))
+            installation.kill(installation.hosts[last])
+
+    run_scenario(scenario, hosts=3)
+
+
 @pytest.mark.parametrize('fault', [leave_alone, restart_host, kill_coordinator])
 def test_all_hosts_together_keep_to_the_limit_of_an_upstream(
     fault: Fault,
@@ -92,7 +118,7 @@
         await asyncio.sleep(CONTACT_S)
         await fault(installation)
         await asyncio.sleep(WINDOW_S + 1)
-        load.cancel()
+        await stop_load(load)
         allowed = SHARE * RATE_LIMIT * WINDOW_S + SLACK
         counted = busiest_window(limited.arrivals, named_at + CONTACT_S)
         assert 0 < counted <= allowed
