Decode the owners of a pool once

A successor unpacked and parsed the row of a pool twice, once for its ranges and once for its era, and a host without a coordinator did so for each row that it reads. StoredOwners now carries the version, the era and the ranges of one decoding.

Behaviour stays, with one exception: a row that is valid JSON but no object counts as written in no era, as other unreadable rows do. It was taken as written in the present one, without ranges.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -18,9 +18,8 @@
     WITNESS_ROW,
     CoordinatorRow,
     decode_coordinator,
-    is_outdated,
     read_owners,
-    read_ranges,
+    read_stored_owners,
 )
 from oriolearch.core.directory import parse_incarnation
 from oriolearch.core.errors import (
@@ -1227,17 +1226,18 @@
         except PlatformError:
             return
         for row in state.rows:
-            ranges = read_ranges(row, self.log)
-            if not ranges or is_outdated(row):
+            stored = read_stored_owners(row, self.log)
+            if not stored.ranges or stored.is_outdated():
                 continue
             self.log.emit(
                 Event.OWNERS_READ,
                 pool=row.key,
-                ranges=len(ranges),
+                ranges=len(stored.ranges),
                 row_version=row.version,
             )
             owned = [
-                OwnedRange(keys.first, keys.last, keys.owner) for keys in ranges
+                OwnedRange(keys.first, keys.last, keys.owner)
+                for keys in stored.ranges
             ]
             self.update_owners(row.key, owned, True)
 
--- a/src/oriolearch/coordinator_rows.py
+++ b/src/oriolearch/coordinator_rows.py
@@ -2,6 +2,7 @@
 
 import json
 import zlib
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -15,7 +16,7 @@
 from oriolearch.core.errors import MALFORMED_ERRORS, ConditionFailedError
 from oriolearch.core.keyranges import OwnedRange
 from oriolearch.core.ownership import KeyRange
-from oriolearch.core.versions import StoreVersion
+from oriolearch.core.versions import ABSENT, StoreVersion
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.packing import decompress
 from oriolearch.ports import RowName, StoredRow
@@ -92,6 +93,24 @@
         return (self.term, self.nonce) == (other.term, other.nonce)
 
 
+@dataclass(frozen=True, slots=True)
+class StoredOwners:
+    """The owners of a pool's keys as the store has them.
+
+    :param version: of the row; ``ABSENT`` if there is none.
+    :param era: era in which the row was written; 0 if unreadable.
+    :param ranges: all keys; empty if there is no row, or an unreadable one.
+    """
+
+    version: StoreVersion = ABSENT
+    era: int = 0
+    ranges: tuple[KeyRange, ...] = ()
+
+    def is_outdated(self) -> bool:
+        """Return whether the store may have lost later owners."""
+        return self.era < self.version.era
+
+
 def decode_coordinator(row: StoredRow) -> CoordinatorRow | None:
     """Return the decoded coordinator row, or ``None`` if unreadable.
 
@@ -155,14 +174,33 @@
 
 
 def decode_ranges(value: bytes) -> list[KeyRange]:
-    """Decode the value of a pool's row.
+    """Decode the ranges in the value of a pool's row.
 
     :raises ValueError: when the value is malformed.
     """
+    return _decode_ranges(_load_fields(value))
+
+
+def _load_fields(value: bytes) -> dict[str, Any]:
+    """Return the fields of a pool's row.
+
+    :raises ValueError: when the value is malformed.
+    """
+    try:
+        text = (
+            value
+            if value.startswith(b'{')
+            else decompress(value, MAX_UNPACKED_BYTES)
+        )
+        return dict(json.loads(text))
+    except MALFORMED_ERRORS as error:
+        raise ValueError(f'malformed owners: {error}') from error
+
+
+def _decode_ranges(fields: Mapping[str, Any]) -> list[KeyRange]:
     ranges = []
     try:
-        rows = _load_fields(value)['ranges']
-        for first, last, owner, fence, previous in rows:
+        for first, last, owner, fence, previous in fields['ranges']:
             keys = KeyRange(
                 int(first), int(last), _parse_ref(owner), int(fence)
             )
@@ -176,39 +214,27 @@
     return ranges
 
 
-def _load_fields(value: bytes) -> dict[str, Any]:
-    text = (
-        value
-        if value.startswith(b'{')
-        else decompress(value, MAX_UNPACKED_BYTES)
-    )
-    fields = json.loads(text)
-    return fields if isinstance(fields, dict) else {}
-
+def _decode_era(fields: Mapping[str, Any], known_era: int) -> int:
+    """Return the era that a pool's row names.
 
-def decode_era(row: StoredRow) -> int:
-    """Return the era in which a pool's row was written; 0 if unreadable.
-
-    Without one, it counts as written in the era in which it was read.
+    :param known_era: era in which the row was read. A row that names none,
+        which an older version of the program wrote, counts as written in it.
     """
     try:
-        fields = _load_fields(row.value or b'')
-        return int(fields.get('era', row.version.era))
+        return int(fields.get('era', known_era))
     except MALFORMED_ERRORS:
         return 0
 
 
-def is_outdated(row: StoredRow) -> bool:
-    """Return whether the store may have lost later owners of a pool's keys."""
-    return decode_era(row) < row.version.era
-
-
-def read_ranges(row: StoredRow, log: EventLog) -> list[KeyRange]:
-    """Return the ranges of a pool's row; log a row that is unreadable."""
+def read_stored_owners(row: StoredRow, log: EventLog) -> StoredOwners:
+    """Return the owners in a pool's row; log a row that is unreadable."""
     if row.value is None:
-        return []
+        return StoredOwners(row.version)
+    era = 0
     try:
-        return decode_ranges(row.value)
+        fields = _load_fields(row.value)
+        era = _decode_era(fields, row.version.era)
+        ranges = tuple(_decode_ranges(fields))
     except ValueError as error:
         log.emit(
             Event.ROW_REJECTED,
@@ -216,7 +242,8 @@
             row_version=row.version,
             error=str(error),
         )
-        return []
+        return StoredOwners(row.version, era)
+    return StoredOwners(row.version, era, ranges)
 
 
 def _parse_ref(text: str | None) -> Incarnation | None:
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -19,11 +19,10 @@
     OWNER_TABLE,
     WITNESS_ROW,
     CoordinatorRow,
-    decode_era,
+    StoredOwners,
     encode_ranges,
-    is_outdated,
     owners_message,
-    read_ranges,
+    read_stored_owners,
     required_versions,
 )
 from oriolearch.core.balance import Move
@@ -543,8 +542,9 @@
                 )
 
     def _open_pool(self, now: float, pool: str) -> KeyOwnership | None:
-        stored = self.stored_rows.get(pool)
-        ranges = read_ranges(stored, self.log) if stored else []
+        row = self.stored_rows.get(pool)
+        stored = read_stored_owners(row, self.log) if row else StoredOwners()
+        ranges = list(stored.ranges)
         if ranges:
             self.balancer_of(pool).inherited_at = now
         else:
@@ -563,15 +563,14 @@
             )
         unknown_until = self.predecessor_end_at + _MAX_GRANT_S
         first_fence = max((keys.fence for keys in ranges), default=0)
-        is_lost = self.has_lost_rows or (
-            stored is not None and is_outdated(stored)
-        )
+        is_lost = self.has_lost_rows or stored.is_outdated()
         if is_lost:
-            first_fence += self._lost_fences(stored)
+            # Lost fencing tokens may exceed those of the row by so much.
+            first_fence += MAX_LOST_FENCES * max(self.row.era - stored.era, 1)
             self.log.emit(
                 Event.OWNERS_OUTDATED,
                 pool=pool,
-                row_version=stored.version if stored else ABSENT,
+                row_version=stored.version,
                 era=self.row.era,
                 fence=first_fence,
                 unserved_s=round(unknown_until - now, 3),
@@ -582,21 +581,16 @@
             first_fence,
             LEASE_S,
             RENEWAL_PERIOD_S,
-            unknown_until if is_lost or stored is not None else now,
+            unknown_until if is_lost or row is not None else now,
             unknown_until if is_lost else now,
         )
         self.pools[pool] = ownership
-        self.pool_versions[pool] = stored.version if stored else ABSENT
-        if stored is not None and stored.value is None:
+        self.pool_versions[pool] = stored.version
+        if row is not None and row.value is None:
             self.pool_versions[pool] = ABSENT
         self._send_owners(pool, ownership.snapshot(lease_clock()), True)
         return ownership
 
-    def _lost_fences(self, stored: StoredRow | None) -> int:
-        """Return by how much lost fencing tokens exceed those of a row."""
-        stored_era = decode_era(stored) if stored else 0
-        return MAX_LOST_FENCES * max(self.row.era - stored_era, 1)
-
     def _reassign_unusable(self, now: float) -> None:
         if self.is_leaving:
             return
--- a/tests/test_key_ownership.py
+++ b/tests/test_key_ownership.py
@@ -9,9 +9,9 @@
 import pytest
 
 from oriolearch.coordinator_rows import (
-    decode_era,
     decode_ranges,
     encode_ranges,
+    read_stored_owners,
 )
 from oriolearch.core.balance import (
     RANGES_PER_UPSTREAM,
@@ -43,6 +43,7 @@
     make_even_ranges,
 )
 from oriolearch.core.versions import StoreVersion
+from oriolearch.eventlog import EventLog
 from oriolearch.ports import StoredRow
 from oriolearch.core.service_times import Capability
 from oriolearch.core.upstream_state import SERVICE_TIME_WEIGHT
@@ -983,8 +984,10 @@
     assert fleet.ownership.is_lost(fleet.now + LOST_AFTER_S * 1.1, A)
 
 
-def owner_row(value: bytes | None) -> StoredRow:
-    return StoredRow('owners', 'pool', value, StoreVersion(5, 1))
+def read_era(value: bytes | None) -> int:
+    """Return the era in which an owners row was written; it is read in 5."""
+    row = StoredRow('owners', 'pool', value, StoreVersion(5, 1))
+    return read_stored_owners(row, EventLog()).era
 
 
 @pytest.mark.parametrize('count', [1, 400], ids=['plain', 'packed'])
@@ -995,7 +998,7 @@
     """Fails if a successor trusts owners that a store may have lost."""
     ranges = make_even_ranges([A for _ in range(count)])
     value = encode_ranges(tuple(ranges), 9, era)
-    assert decode_era(owner_row(value)) == era
+    assert read_era(value) == era
 
 
 @pytest.mark.parametrize(
@@ -1004,7 +1007,7 @@
 )
 def test_unreadable_row_is_of_no_era(value: bytes | None) -> None:
     """Fails if a row without an era counts as one of the present era."""
-    assert decode_era(owner_row(value)) == 0
+    assert read_era(value) == 0
 
 
 @pytest.mark.parametrize('value', [b'{"ranges":[]}', b'{}'])
@@ -1014,7 +1017,7 @@
     A successor of a coordinator of the older version trusted no row, and keys
     had no owner for 15 s.
     """
-    assert decode_era(owner_row(value)) == 5
+    assert read_era(value) == 5
 
 
 def test_no_upstream_is_called_while_others_may_hold_the_keys() -> None:
