Move takeover attempts into a module of their own

_ask_peer and _ask_term asked another host the same question. ask_term in succession.py serves both.

Behaviour is unchanged, and no test was.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -13,9 +13,7 @@
 from oriolearch.coordinator_rows import (
     COORDINATOR_ROW,
     COORDINATOR_TABLE,
-    MAX_EARLIER_TERMS,
     OWNER_TABLE,
-    WITNESS_ROW,
     CoordinatorRow,
     decode_coordinator,
     read_owners,
@@ -23,9 +21,7 @@
 )
 from oriolearch.core.directory import parse_incarnation
 from oriolearch.core.errors import (
-    ConditionFailedError,
     HistoryLostError,
-    OutcomeUnknownError,
     PeerError,
     PeerRefusedError,
     PlatformError,
@@ -33,12 +29,7 @@
 from oriolearch.core.keyranges import OwnedRange
 from oriolearch.core.notices import NoticeChannel
 from oriolearch.core.versions import ABSENT, StoreVersion
-from oriolearch.core.witnesses import (
-    LONG_AGO,
-    LONG_AUTHORITY_S,
-    Promise,
-    decode_witnesses,
-)
+from oriolearch.core.witnesses import LONG_AGO, Promise
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.forwarding import Forwarder
 from oriolearch.granting import GrantPort
@@ -74,8 +65,9 @@
     refs_with_recent_requests,
 )
 from oriolearch.restoring import Restoration
-from oriolearch.succession import ANSWER_TIMEOUT_S, Succession, ask
+from oriolearch.succession import ANSWER_TIMEOUT_S, Succession, ask_term
 from oriolearch.supervision import keep_running, log_task_failure
+from oriolearch.takeovers import STORE_RETRY_S, Takeover, Takeovers
 
 # A starting host checks this often whether its tables have been read.
 START_POLL_S = 0.02
@@ -95,9 +87,6 @@
 POLL_AFTER_SILENCE_S = 1.3
 REPORT_PERIOD_S = 0.2  # between reports of key counts to the coordinator
 TERM_POLL_S = 0.1  # a coordinator checks this often whether its term is over
-# Mean delay before a takeover. It is random, so that hosts try in turn.
-TAKEOVER_DELAY_S = 0.15
-MAX_TAKEOVER_DELAY_S = 0.8  # for the hosts with the least capacity
 # A host that cannot reach most of its peers takes over only after this.
 ISOLATED_TAKEOVER_S = 8.0
 MAX_SENT_AGE_S = 3600.0  # of a table that was never read, in heartbeats
@@ -110,32 +99,11 @@
 COORDINATOR_POLL_S = 0.8
 COORDINATOR_POLL_GRACE_S = 0.4  # a slow store takes 0.2 s
 CONFIRM_PERIOD_S = 0.4  # between checks of the coordinator's authority
-STORE_RETRY_S = 0.25  # after a failed call of the store
-# A coordinator whose row the store has lost notices that, and writes it again,
-# within this time.
-RESTORE_TIME_S = 2.0
-# Between takeover attempts while the store does not answer.
-MAX_STORE_BACKOFF_S = 1.5
 # Between attempts to replace a coordinator that cannot write to the store.
 STUCK_TAKEOVER_PERIOD_S = 1.5
 OWNERS_PERIOD_S = 1.0  # minimum time between reads of the owners
 
 
-@dataclass(frozen=True, slots=True)
-class Takeover:
-    """An attempt to become the coordinator.
-
-    :param began_at: when the row was sent to the store, in seconds.
-    :param lost_over_at: by then, earlier terms are over whose rows the store
-        may have lost.
-    """
-
-    row: CoordinatorRow
-    predecessor: CoordinatorRow | None
-    began_at: float
-    lost_over_at: float
-
-
 class Coordination:
     """Finds the coordinator, reports to it, and replaces it when needed.
 
@@ -152,7 +120,7 @@
     :ivar is_store_restored: whether the store came back from an earlier copy
         since this host started.
     :ivar era_seen_at: when this host learned of the present era of the store.
-    :ivar open_takeovers: number of takeovers whose outcome is not known yet.
+    :ivar takeovers: this host's attempts to become the coordinator.
     """
 
     def __init__(
@@ -198,12 +166,11 @@
         self.store_lost_at = 0.0
         self.is_store_lost_to_coordinator = False
         self.next_stuck_takeover_at = float('-inf')
-        self.store_backoff_s = STORE_RETRY_S
         self.is_stopping = False
         self.is_cut_off = False
         self.promise = Promise()
         self.era_seen_at = lease_clock()
-        self.open_takeovers = 0
+        self.takeovers = Takeovers(identity, self, store, log, rng)
         self.server: asyncio.Server | None = None
         self.peer_links: set[HostLink] = set()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -602,13 +569,8 @@
         """
         if peer == self.address:
             return False
-        try:
-            answer = await ask(peer, {'kind': 'ask'})
-        except PeerRefusedError:
-            return False
-        except PeerError:
-            return None
-        return answer.get('hears') == term
+        heard = await ask_term(peer)
+        return None if heard is None else heard == term
 
     async def _follow_coordinator(self, row: CoordinatorRow) -> str:
         """Stay connected to the coordinator; return why the link ended."""
@@ -858,7 +820,7 @@
         here. They would try to replace a coordinator that drops them.
         """
         ends_at = lease_clock() + CONTACT_TIMEOUT_S
-        while self.leadership is None and self.open_takeovers:
+        while self.leadership is None and self.takeovers.open_count:
             if lease_clock() >= ends_at:
                 return None
             await asyncio.sleep(START_POLL_S)
@@ -949,149 +911,10 @@
 
         :param is_requested: the present coordinator wants to be replaced.
         """
-        seen_version = self.row_version
-        predecessor = self.row
-        # Hosts with more capacity try first: a coordinator sends all changes
-        # to every other host.
-        delay_s = TAKEOVER_DELAY_S * (0.5 + self.rng.random())
-        await asyncio.sleep(min(delay_s / self.capacity, MAX_TAKEOVER_DELAY_S))
-        if self.row_version != seen_version:
-            return
-        if self.is_row_restored() and not is_requested:
-            delay_reason = await self._takeover_delay_reason()
-            if self.row_version != seen_version:
-                return
-            if delay_reason:
-                self._log_delayed_takeover(delay_reason)
-                await asyncio.sleep(STORE_RETRY_S)
-                return
-        self.open_takeovers += 1
-        try:
-            await self._take_over(reason, predecessor)
-        finally:
-            self.open_takeovers -= 1
-
-    def _log_delayed_takeover(self, reason: str) -> None:
-        self.log.emit(
-            Event.TAKEOVER_DELAYED,
-            reason=reason,
-            row_version=self.row_version,
-            era=self.relay.ledger.era,
-        )
-
-    async def _takeover_delay_reason(self) -> str:
-        """Return why this host has to wait for a coordinator, or nothing.
-
-        The store may have lost the row of a later coordinator. While other
-        hosts follow one, it writes its row again.
-        """
-        try:
-            await self.read_coordinator_row()
-            witnesses = await self.store.read(WITNESS_ROW.table)
-        except PlatformError:
-            return 'the store does not answer'
-        if lease_clock() < self.era_seen_at + RESTORE_TIME_S:
-            return 'a coordinator may write its row again'
-        addresses = {
-            *self.peers,
-            *(
-                witness.address
-                for row in witnesses.rows
-                for witness in decode_witnesses(row.value).witnesses
-            ),
-        }
-        terms = await asyncio.gather(
-            *(self._ask_term(host) for host in addresses - {self.address})
-        )
-        return 'other hosts follow a coordinator' if any(terms) else ''
-
-    async def _ask_term(self, host: str) -> int:
-        """Return the term of the coordinator that another host hears, or 0."""
-        try:
-            answer = await ask(host, {'kind': 'ask'})
-        except PeerError:
-            return 0
-        term = answer.get('hears')
-        return term if isinstance(term, int) else 0
-
-    def _lost_over_at(self) -> float:
-        """Return by when terms are over whose rows the store may have lost.
-
-        The store has confirmed none of them in its present era.
-        """
-        if self.is_row_restored():
-            return self.era_seen_at + LONG_AUTHORITY_S
-        return LONG_AGO
-
-    def _next_term(self) -> int:
-        """Return a term above all earlier ones, also those that are lost."""
-        nobody = CoordinatorRow('', '', 0, '')
-        known = [row or nobody for row in (self.row, self.stored_row)]
-        if self.is_row_restored():
-            return max(row.next_term_in(self.store_era()) for row in known)
-        return max(row.next_term_in(row.era) for row in known)
-
-    async def _take_over(
-        self, reason: str, predecessor: CoordinatorRow | None
-    ) -> None:
-        term = self._next_term()
-        earlier = predecessor.known_terms() if predecessor else ()
-        row = CoordinatorRow(
-            self.host,
-            self.address,
-            term,
-            self.nonce,
-            earlier=earlier[:MAX_EARLIER_TERMS],
-            era=self.relay.ledger.era,
-        )
-        attempt = Takeover(
-            row, predecessor, lease_clock(), self._lost_over_at()
-        )
-        outcome = 'won'
-        try:
-            version = await self.store.commit(
-                {COORDINATOR_ROW: self.row_version},
-                {COORDINATOR_ROW: row.encode()},
-            )
-        except ConditionFailedError:
-            outcome = 'lost to another host'
-        except OutcomeUnknownError:
-            outcome = 'unknown'
-        except PlatformError as error:
-            outcome = str(error)
-        self.log.emit(
-            Event.TAKEOVER,
-            term=term,
-            outcome=outcome,
-            reason=reason,
-        )
-        if outcome == 'won':
-            self.store_backoff_s = STORE_RETRY_S
-            self._begin_term(attempt, version)
-        else:
-            await self._resolve_takeover(attempt)
-
-    async def _resolve_takeover(self, attempt: Takeover) -> None:
-        """Read the coordinator row after a takeover that may have failed."""
-        await asyncio.sleep(STORE_RETRY_S)
-        try:
-            await self.read_coordinator_row()
-        except PlatformError:
-            await asyncio.sleep(self.store_backoff_s)
-            self.store_backoff_s = min(
-                self.store_backoff_s * 2, MAX_STORE_BACKOFF_S
-            )
-            return
-        self.store_backoff_s = STORE_RETRY_S
-        if self.stored_row != attempt.row or self.leadership is not None:
-            return
-        if self.is_store_restored:
-            # The era may have changed after the attempt began.
-            lost_over_at = max(attempt.lost_over_at, self._lost_over_at())
-            attempt = replace(attempt, lost_over_at=lost_over_at)
-        self._begin_term(attempt, self.row_version)
+        await self.takeovers.attempt(reason, is_requested=is_requested)
 
-    def _begin_term(self, attempt: Takeover, version: StoreVersion) -> None:
+    def begin_term(self, attempt: Takeover, version: StoreVersion) -> None:
+        """Begin the term of a takeover that the store has accepted."""
         row, predecessor = attempt.row, attempt.predecessor
         if self.row_version > version:
             return
--- a/src/oriolearch/succession.py
+++ b/src/oriolearch/succession.py
@@ -5,7 +5,7 @@
 from oriolearch.adapters.host_links import Message, connect
 from oriolearch.clock import lease_clock
 from oriolearch.coordinator_rows import CoordinatorRow
-from oriolearch.core.errors import PeerError
+from oriolearch.core.errors import PeerError, PeerRefusedError
 from oriolearch.core.witnesses import (
     LONG_AGO,
     EarlierTerms,
@@ -153,3 +153,19 @@
         return await link.receive(ANSWER_TIMEOUT_S)
     finally:
         link.close()
+
+
+async def ask_term(address: str) -> int | None:
+    """Ask another host for the term of the coordinator that it hears.
+
+    :returns: 0 when it hears none, or does not run; ``None`` when it cannot be
+        reached.
+    """
+    try:
+        answer = await ask(address, {'kind': 'ask'})
+    except PeerRefusedError:
+        return 0
+    except PeerError:
+        return None
+    term = answer.get('hears')
+    return term if isinstance(term, int) else 0
