Let a coordinator write first after an outage of the store

Cause, of the first of the takeovers in a row: a coordinator that cannot write for 2 s asks to be replaced, also if nobody can write. All hosts then try in turn, and at the store's return one of them is mostly before the coordinator, which tries every 0.25 s and may still wait for a call. The new coordinator sends all tables to all hosts, and is replaced while it does.

Change: a host reads the coordinator row first. If it cannot, either, the coordinator gets 2 s from the store's return on: its last call ends within 1.5 s, the next one follows after 0.25 s, heartbeats come every 0.25 s. A coordinator that alone is cut off is replaced as before.

Test: test_coordinator_that_cannot_write.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -101,6 +101,10 @@
 CONFIRM_PERIOD_S = 0.4  # between checks of the coordinator's authority
 # Between attempts to replace a coordinator that cannot write to the store.
 STUCK_TAKEOVER_PERIOD_S = 1.5
+# A coordinator writes again so soon after the store is back: its last call
+# without an answer ends within 1.5 s, it tries again after 0.25 s, and sends
+# heartbeats every 0.25 s.
+STUCK_GRACE_S = 2.0
 OWNERS_PERIOD_S = 1.0  # minimum time between reads of the owners
 
 
@@ -165,7 +169,7 @@
         self.owners_read_at = float('-inf')
         self.store_lost_at = 0.0
         self.is_store_lost_to_coordinator = False
-        self.next_stuck_takeover_at = float('-inf')
+        self.is_coordinator_stuck = False
         self.is_stopping = False
         self.is_cut_off = False
         self.promise = Promise()
@@ -652,8 +656,10 @@
             self.forwarder.lapsed_leases.clear()
         self._record_coordinator_tables(message)
         self._apply_hosts(message)
-        if message.get('stuck'):
-            self._replace_stuck_coordinator()
+        was_stuck = self.is_coordinator_stuck
+        self.is_coordinator_stuck = bool(message.get('stuck'))
+        if self.is_coordinator_stuck and not was_stuck:
+            self.spawn(self._replace_stuck_coordinator(row))
 
     def _record_coordinator_tables(self, message: Message) -> None:
         """Record how current the tables are that the coordinator relays."""
@@ -678,6 +684,7 @@
 
     def _close_link(self, link: HostLink) -> None:
         self.coordinator_link = None
+        self.is_coordinator_stuck = False
         link.close()
         self.spawn(self._poll_after_silence())
         if self.leadership is None:
@@ -711,15 +718,26 @@
         if self.promise.may_acknowledge(int(message['term'])):
             link.send({'kind': 'acknowledge', 'at': message['at']})
 
-    def _replace_stuck_coordinator(self) -> None:
-        """Try to replace a coordinator that cannot write to the store."""
-        now = lease_clock()
-        if now >= self.next_stuck_takeover_at:
-            self.next_stuck_takeover_at = now + STUCK_TAKEOVER_PERIOD_S * (
-                1 + self.rng.random()
+    async def _replace_stuck_coordinator(self, row: CoordinatorRow) -> None:
+        """Replace a coordinator while it cannot write to the store.
+
+        After an outage for all, it is given the time to write first: all hosts
+        follow it, and a takeover would send the tables to each of them again.
+        """
+        grace_s = 0.0
+        while self.is_coordinator_stuck and row is self.row:
+            try:
+                await self.read_coordinator_row()
+            except PlatformError:
+                grace_s = STUCK_GRACE_S
+            else:
+                await asyncio.sleep(grace_s)
+                if self.is_coordinator_stuck and row is self.row:
+                    reason = 'the coordinator cannot write'
+                    await self.try_takeover(reason, is_requested=True)
+            await asyncio.sleep(
+                STUCK_TAKEOVER_PERIOD_S * (1 + self.rng.random())
             )
-            reason = 'the coordinator cannot write'
-            self.spawn(self.try_takeover(reason, is_requested=True))
 
     def _apply_hosts(self, message: Message) -> None:
         hosts = message.get('hosts')
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -15,6 +15,7 @@
 from itertools import chain
 from pathlib import Path
 from typing import Any
+from unittest.mock import MagicMock
 
 import pytest
 
@@ -27,8 +28,13 @@
 )
 from oriolearch.clock import lease_clock
 from oriolearch.core.directory import Incarnation, UpstreamEntry
-from oriolearch.core.errors import PeerError, ValidationError
+from oriolearch.core.errors import (
+    PeerError,
+    PlatformRefusedError,
+    ValidationError,
+)
 from oriolearch.core.upstream_state import QueuedRequest
+from oriolearch.core.versions import StoreVersion
 from oriolearch.core.witnesses import LONG_AUTHORITY_S, SHORT_AUTHORITY_S
 from oriolearch.leadership import Leadership
 from oriolearch.platform.daemon import HostDaemon
@@ -49,6 +55,7 @@
 PREDECESSOR_ANSWER_S = 1.5
 MAX_RETRY_S = 0.5  # until a caller of a stopping host may return
 CALLER_CONNECT_S = 1.0  # connect timeout of callers
+LAST_CALL_S = 1.4  # of the store, to an answer that does not come
 LAST_ITERATIONS = 3  # of the event loop, from an accept to a running task
 
 # Below the kernel's range of ephemeral ports: an outgoing connection took one
@@ -706,6 +713,75 @@
     run_scenario(scenario, servers=4, hosts=3)
 
 
+async def refuse_commit(*args: object) -> StoreVersion:
+    raise PlatformRefusedError('cut off')
+
+
+def cut_off(leadership: Leadership) -> None:
+    """Cut only the coordinator off from the store."""
+    leadership.store = MagicMock(wraps=leadership.store, commit=refuse_commit)
+
+
+async def wait_until_stuck(leadership: Leadership) -> None:
+    """Wait until the coordinator reports that it cannot write."""
+    async with asyncio.timeout(8):
+        while not leadership.is_stuck():
+            await asyncio.sleep(0.05)
+
+
+async def end_writes_for_all(
+    installation: Installation, leadership: Leadership
+) -> None:
+    """Let the store fail; the coordinator's last call ends a while later."""
+    installation.store.is_closing = True
+    await wait_until_stuck(leadership)
+    await asyncio.sleep(1.0)
+    connected = leadership.store
+    cut_off(leadership)
+    installation.store.is_closing = False
+    await asyncio.sleep(LAST_CALL_S)
+    leadership.store = connected
+
+
+async def end_writes_of_coordinator(
+    installation: Installation, leadership: Leadership
+) -> None:
+    cut_off(leadership)
+    await wait_until_stuck(leadership)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'is_replaced'),
+    [(end_writes_for_all, False), (end_writes_of_coordinator, True)],
+)
+def test_coordinator_that_cannot_write(
+    fault: Callable[[Installation, Leadership], Awaitable[None]],
+    is_replaced: bool,
+) -> None:
+    """Guard against a takeover at the end of each outage of the store.
+
+    In chd-gateway-grown trouble-3 a host replaced the coordinator as soon as
+    the store was back, before the coordinator wrote again. The tables went to
+    all hosts anew, and further takeovers followed.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        await asyncio.sleep(1.0)
+        leadership = coordinator_host(installation).coordination.leadership
+        assert leadership is not None
+        drained = installation.servers[0].entry('draining')
+        installation.store.put('servers', 'i-0', drained)
+        await fault(installation, leadership)
+        await asyncio.sleep(3.0)
+        assert leadership.is_over == is_replaced
+        present = coordinator_host(installation).coordination.leadership
+        assert present is not None
+        assert not present.is_stuck()
+        await installation.wait_until_all_served()
+
+    run_scenario(scenario, servers=4, hosts=6)
+
+
 def test_changes_of_many_servers_need_few_calls() -> None:
     """Guard against a call of the store for each change of a server.
 
