Keep a coordinator that serves, though it cannot write after a return

Cause: the coordinator was cut off from the store while all hosts heard it. After 2 s it asked to be replaced, and a takeover on request did not wait, as others do, for the rows to be written again. Its successor trusts no row and no earlier term, so that it may grant only 15 s after the new era was seen.

Ruled out: a lost coordinator; h0 led until the takeover, and the proof of its end came 10 ms after it.

Change: while the coordinator can renew leases, a takeover on request waits until lost terms are over (12 s after the new era was seen).

Test: test_coordinator_that_cannot_write_after_the_return. Before: 503 for all keys. After: passed, 1 of 1.

--- a/src/oriolearch/takeovers.py
+++ b/src/oriolearch/takeovers.py
@@ -82,6 +82,9 @@
     def is_row_restored(self) -> bool:
         """Return whether the store may have lost the row of a later term."""
 
+    def hears_coordinator(self) -> bool:
+        """Return whether a coordinator that can renew leases is in contact."""
+
     async def read_coordinator_row(self) -> None:
         """Read the coordinator row.
 
@@ -129,8 +132,12 @@
         await asyncio.sleep(min(delay_s, MAX_TAKEOVER_DELAY_S))
         if successor.row_version != seen_version:
             return
-        if successor.is_row_restored() and not is_requested:
-            delay_reason = await self._delay_reason()
+        if successor.is_row_restored():
+            delay_reason = (
+                self._requested_delay_reason()
+                if is_requested
+                else await self._delay_reason()
+            )
             if successor.row_version != seen_version:
                 return
             if delay_reason:
@@ -151,6 +158,18 @@
             era=self.successor.store_era(),
         )
 
+    def _requested_delay_reason(self) -> str:
+        """Return why a coordinator keeps its term for now, or nothing.
+
+        It serves all keys while its witnesses acknowledge it, also if it cannot
+        write its rows again. A successor would serve none of them before lost
+        terms are over.
+        """
+        is_early = lease_clock() < self._lost_over_at()
+        if is_early and self.successor.hears_coordinator():
+            return 'a coordinator may write its row again'
+        return ''
+
     async def _delay_reason(self) -> str:
         """Return why this host has to wait for a coordinator, or nothing.
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -24,9 +24,11 @@
     KEYS,
     Installation,
     coordinator_host,
+    refuse_commit,
     run_scenario,
     wait_for_coordinator,
     wait_for_witnesses,
+    wait_until_stuck,
 )
 
 CONFIG_S = 2.0  # bound of the platform for a new configuration
@@ -212,6 +214,35 @@
     run_scenario(scenario, hosts=4, era=1)
 
 
+def test_coordinator_that_cannot_write_after_the_return() -> None:
+    """Guard against a needless takeover that leaves all keys unserved.
+
+    A host replaced the coordinator, which was cut off from the store only. No
+    key was served until the terms were over that the store may have lost.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        store = installation.store
+        await wait_for_witnesses(installation)
+        await wait_until_restored(installation)
+        coordinator = coordinator_host(installation)
+        leadership = leadership_of(coordinator)
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(
+                coordinator.coordination.store, 'commit', refuse_commit
+            )
+            store.restore(store.copy())
+            await wait_until_stuck(leadership)
+            ends_at = asyncio.get_running_loop().time() + 3
+            while asyncio.get_running_loop().time() < ends_at:
+                assert set(await installation.send_orders()) == {200}
+                await asyncio.sleep(0.1)
+        await wait_until_restored(installation)
+        assert not leadership.is_over
+
+    run_scenario(scenario, hosts=4, era=1)
+
+
 def test_coordinator_that_is_lost_with_its_row() -> None:
     """Guard against a term that is given twice, and against a long gap.
 
