Count lost terms as over from when the new era was seen

Cause: terms of a new era begin 1,000 above. A successor took the numbers between two known terms for terms that may have been confirmed until its own takeover, and waited for their longest authority anew.

Why this is safe: the successor knows all terms that the store has confirmed in its present era, since each takeover is conditional on the row of the one before and names it. The others were last confirmed in an earlier era, before it was seen, and no authority lasts longer than 12 s from the last confirmation. Where earlier rows are missing (more than four takeovers), the old bound stays. A store that names no era: no change.

Test: test_terms_between_known_ones_are_over_with_their_era; before, there was no such bound, and its case of a gap gave 22 instead of 14 s. No test of whole hosts: two tries at one did not reach the state.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -1,6 +1,7 @@
 """Follow the coordinator from one host, and replace it when it is lost."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
@@ -29,7 +30,7 @@
 from oriolearch.core.keyranges import OwnedRange
 from oriolearch.core.notices import NoticeChannel
 from oriolearch.core.versions import ABSENT, StoreVersion
-from oriolearch.core.witnesses import LONG_AGO, Promise
+from oriolearch.core.witnesses import LONG_AGO, LONG_AUTHORITY_S, Promise
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.forwarding import Forwarder
 from oriolearch.granting import GrantPort
@@ -964,7 +965,11 @@
                 max(leadership.began_at, attempt.lost_over_at)
             )
         succession = Succession(
-            leadership, predecessor, self.log, attempt.lost_over_at
+            leadership,
+            predecessor,
+            self.log,
+            attempt.lost_over_at,
+            self._gaps_over_at(),
         )
         self.leadership = leadership
         self._set_cut_off(False)
@@ -991,6 +996,12 @@
             # The era was not known, or changed, when the row was written.
             self._restore_rows(leadership)
 
+    def _gaps_over_at(self) -> float:
+        """Return by when terms of earlier eras are over that nobody names."""
+        if not self.store_era():
+            return math.inf
+        return self.era_seen_at + LONG_AUTHORITY_S
+
     def _log_abandoned_term(self, row: CoordinatorRow, reason: str) -> None:
         self.log.emit(
             Event.TAKEOVER,
--- a/src/oriolearch/core/witnesses.py
+++ b/src/oriolearch/core/witnesses.py
@@ -22,6 +22,7 @@
 """
 
 import json
+import math
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
@@ -286,11 +287,13 @@
 class EarlierTerms:
     """Determines by when all terms before a takeover are over.
 
-    :param terms: the terms that the successor knows of. There is a gap where
-        the store has lost terms.
+    :param terms: the terms that the successor knows of: the latest ones of the
+        store's history. There is a gap where the store has lost terms.
     :param row: the row that it read after its takeover.
     :param lost_over_at: time by which terms are over whose takeovers the store
         may have lost when it came back from an earlier copy.
+    :param gaps_over_at: time by which the terms in such gaps are over. The
+        store has confirmed none of them since its present era was seen.
     :ivar ends: the end of each known term that may not be over.
     """
 
@@ -300,6 +303,7 @@
         row: WitnessRow,
         took_over_at: float,
         lost_over_at: float = LONG_AGO,
+        gaps_over_at: float = math.inf,
     ) -> None:
         self.over_before = row.over_before
         self.ends = {
@@ -308,14 +312,13 @@
             if term >= row.over_before
         }
         # Terms that it does not know of may not be over either.
-        is_complete = (
-            min(terms) <= row.over_before
-            and len(self.ends) >= max(terms) + 1 - row.over_before
-        )
-        self.others_over_at = max(
-            lost_over_at,
-            took_over_at + (0 if is_complete else LONG_AUTHORITY_S),
-        )
+        longest = took_over_at + LONG_AUTHORITY_S
+        unknown_over_at = took_over_at
+        if min(terms) > row.over_before:
+            unknown_over_at = longest
+        elif len(self.ends) < max(terms) + 1 - row.over_before:
+            unknown_over_at = min(gaps_over_at, longest)
+        self.others_over_at = max(lost_over_at, unknown_over_at)
 
     @property
     def over_at(self) -> float:
--- a/src/oriolearch/succession.py
+++ b/src/oriolearch/succession.py
@@ -1,6 +1,7 @@
 """Find out when the predecessors of a new coordinator stopped acting."""
 
 import asyncio
+import math
 
 from oriolearch.adapters.host_links import Message, connect
 from oriolearch.clock import lease_clock
@@ -28,6 +29,8 @@
 
     :param predecessor: ``None`` when there is none that may still act.
     :param lost_over_at: by then, terms that the store lost are over.
+    :param gaps_over_at: by then, terms are over that the store lost before the
+        predecessor's, or between earlier ones.
     """
 
     def __init__(
@@ -36,8 +39,10 @@
         predecessor: CoordinatorRow | None,
         log: EventLog,
         lost_over_at: float = LONG_AGO,
+        gaps_over_at: float = math.inf,
     ) -> None:
         self.lost_over_at = lost_over_at
+        self.gaps_over_at = gaps_over_at
         self.leadership = leadership
         self.predecessor = predecessor
         self.log = log
@@ -53,7 +58,11 @@
             return
         rows = {term.term: term for term in self.predecessor.known_terms()}
         earlier = EarlierTerms(
-            tuple(rows), row, self.took_over_at, self.lost_over_at
+            tuple(rows),
+            row,
+            self.took_over_at,
+            self.lost_over_at,
+            self.gaps_over_at,
         )
         self.leadership.record_earlier_terms(earlier)
         while not self.leadership.is_over and lease_clock() < earlier.over_at:
--- a/tests/test_witnesses.py
+++ b/tests/test_witnesses.py
@@ -316,6 +316,26 @@
     assert earlier.over_at == pytest.approx(17)
 
 
+@pytest.mark.parametrize(
+    ('terms', 'over_at'),
+    [((5, 1006), 14.0), ((5, 6), 11.0), ((1006,), 22.0)],
+    ids=['gap', 'no-gap', 'earlier-ones-unknown'],
+)
+def test_terms_between_known_ones_are_over_with_their_era(
+    terms: tuple[int, ...], over_at: float
+) -> None:
+    """Guard against a gap in service after each of several takeovers.
+
+    The store had come back 8 s before the takeover. The numbers that a new era
+    leaves out counted as terms that had been confirmed until the takeover.
+    """
+    row = WitnessRow(5, GROUP, over_before=5)
+    earlier = EarlierTerms(terms, row, took_over_at=10.0, gaps_over_at=14.0)
+    for end in earlier.ends.values():
+        end.record_proven_end(11.0)
+    assert earlier.over_at == pytest.approx(over_at)
+
+
 @pytest.mark.parametrize(
     ('era', 'witnesses'), [(1, GROUP), (2, GROUP), (3, ())]
 )
