Keep owners outdated for successors in turn after a return

Two servers could hold the same keys (OWNER) when a coordinator that had taken over after a return of the store was lost within 15 s. Its successor granted the owners of the copy their keys at once, while a coordinator whose takeover the store had lost, or the leases that it had granted, might still be in force.

Cause: the first successor waits for the end of lost terms, but its rows name the new era at once. Nothing told the next one of this wait. Ruled out as sufficient: the gap between terms, which makes the next one wait until the same time, exists only if the first successor knew of the new era when it took over; one whose takeover was answered by the return has the next term. A row that a host read again with more in it (the lowest next term) was ignored, as it named the same term.

Change: the row of a pool names the era before until lost leases have expired, so that a successor, and hosts without a coordinator, do not trust it. A takeover uses the latest row of the term that it replaces. A store that names no era: no change.

Test: test_successor_in_turn_does_not_trust_outdated_owners.

--- a/src/oriolearch/coordinator_rows.py
+++ b/src/oriolearch/coordinator_rows.py
@@ -98,7 +98,8 @@
     """The owners of a pool's keys as the store has them.
 
     :param version: of the row; ``ABSENT`` if there is none.
-    :param era: era in which the row was written; 0 if unreadable.
+    :param era: era of the store in which no later owners held keys; 0 if the
+        row is unreadable.
     :param ranges: all keys; empty if there is no row, or an unreadable one.
     """
 
@@ -141,7 +142,8 @@
 ) -> bytes:
     """Return the value of a pool's row.
 
-    :param era: era of the store in which the row is written.
+    :param era: era of the store in which no later owners hold keys. Usually
+        the one in which the row is written.
     """
     rows = [
         [
--- a/src/oriolearch/core/ownership.py
+++ b/src/oriolearch/core/ownership.py
@@ -307,6 +307,11 @@
             effects.extend(self._due_calls(now))
         return effects
 
+    def require_rewrite(self, now: float) -> None:
+        """Require a write of all ranges, although none has changed."""
+        self.revision += 1
+        self.store_after = now
+
     def begin_store(self, now: float) -> Store:
         """Return a write of all ranges, whether or not they changed."""
         self.is_store_pending = True
@@ -478,9 +483,8 @@
 
     def _require_store(self, now: float, keys: KeyRange) -> None:
         """Require a write to the store before calls for a moved range."""
-        self.revision += 1
+        self.require_rewrite(now)
         keys.revision = self.revision
-        self.store_after = now
 
     def _begin_move(self, now: float, keys: KeyRange) -> None:
         if keys.owner is not None:
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -121,6 +121,8 @@
     :param row_version: version of the row that names the coordinator.
     :ivar has_lost_rows: whether the store may have lost rows of owners, also
         all rows of a pool, before this term began.
+    :ivar outdated_pools: pools of which the store may have lost later owners,
+        which may hold leases.
     """
 
     def __init__(
@@ -155,6 +157,7 @@
         self.pool_versions: dict[str, StoreVersion] = {}
         self.stored_rows: dict[str, StoredRow] = {}
         self.has_lost_rows = False
+        self.outdated_pools: set[str] = set()
         self.members = Members(
             own_member, self._heartbeat_message, local_host.update_hosts
         )
@@ -184,6 +187,16 @@
         """Record that the store may have lost rows of this term."""
         self.restoring_since = now
 
+    def owners_era(self, pool: str, era: int) -> int:
+        """Return the era that a pool's row names when it is written.
+
+        While other upstreams may hold leases, it is an earlier one: a successor
+        must not trust the owners in the row.
+
+        :param era: the present era of the store.
+        """
+        return era - 1 if pool in self.outdated_pools else era
+
     def begin_storing_pools(self, now: float) -> dict[str, Store]:
         """Return writes of the owners of all pools, whatever is stored."""
         return {
@@ -540,6 +553,15 @@
                 ownership.set_upstreams(
                     self.registry.callable_upstreams(plan.name)
                 )
+                self._end_outdated(now, plan.name, ownership)
+
+    def _end_outdated(
+        self, now: float, pool: str, ownership: KeyOwnership
+    ) -> None:
+        """Let successors trust a pool's row once lost leases have expired."""
+        if pool in self.outdated_pools and now >= ownership.calls_from:
+            self.outdated_pools.remove(pool)
+            ownership.require_rewrite(now)
 
     def _open_pool(self, now: float, pool: str) -> KeyOwnership | None:
         row = self.stored_rows.get(pool)
@@ -567,6 +589,7 @@
         if is_lost:
             # Lost fencing tokens may exceed those of the row by so much.
             first_fence += MAX_LOST_FENCES * max(self.row.era - stored.era, 1)
+            self.outdated_pools.add(pool)
             self.log.emit(
                 Event.OWNERS_OUTDATED,
                 pool=pool,
@@ -633,7 +656,8 @@
         effect: Effect,
     ) -> None:
         if isinstance(effect, Store):
-            value = encode_ranges(effect.ranges, effect.revision, self.row.era)
+            era = self.owners_era(pool, self.row.era)
+            value = encode_ranges(effect.ranges, effect.revision, era)
             self.local_host.spawn(
                 self._store(pool, ownership, effect.revision, value)
             )
--- a/src/oriolearch/restoring.py
+++ b/src/oriolearch/restoring.py
@@ -125,7 +125,7 @@
         stores = leadership.begin_storing_pools(sent_at)
         writes = {
             RowName(OWNER_TABLE, pool): encode_ranges(
-                store.ranges, store.revision, era
+                store.ranges, store.revision, leadership.owners_era(pool, era)
             )
             for pool, store in stores.items()
         }
--- a/src/oriolearch/succession.py
+++ b/src/oriolearch/succession.py
@@ -12,6 +12,7 @@
     EarlierTerms,
     PredecessorEnd,
     Witness,
+    WitnessRow,
 )
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.leadership import Leadership
@@ -61,7 +62,7 @@
             tuple(rows),
             row,
             self.took_over_at,
-            self.lost_over_at,
+            self._lost_over_at(self.predecessor, row),
             self.gaps_over_at,
         )
         self.leadership.record_earlier_terms(earlier)
@@ -76,6 +77,19 @@
             self.leadership.limit_predecessor(earlier.over_at)
             await asyncio.sleep(ASK_PERIOD_S)
 
+    def _lost_over_at(
+        self, predecessor: CoordinatorRow, row: WitnessRow
+    ) -> float:
+        """Return by when terms are over that the store lost.
+
+        A predecessor whose earlier terms were not over may still have waited
+        for lost ones, even if its row is of the present era.
+        """
+        has_waited = row.over_before >= predecessor.term
+        if has_waited or not predecessor.min_next_term:
+            return self.lost_over_at
+        return max(self.lost_over_at, self.gaps_over_at)
+
     async def _prove_end(
         self, row: CoordinatorRow, end: PredecessorEnd
     ) -> None:
--- a/src/oriolearch/takeovers.py
+++ b/src/oriolearch/takeovers.py
@@ -124,7 +124,7 @@
         """
         successor = self.successor
         seen_version = successor.row_version
-        predecessor = successor.row
+        predecessor = self._predecessor()
         # Hosts with more capacity try first: a coordinator sends all changes
         # to every other host.
         delay_s = TAKEOVER_DELAY_S * (0.5 + self.rng.random())
@@ -150,6 +150,13 @@
         finally:
             self.open_count -= 1
 
+    def _predecessor(self) -> CoordinatorRow | None:
+        """Return the row of the followed term, as it was last written."""
+        row, stored = self.successor.row, self.successor.stored_row
+        if row is None or stored is None or not stored.is_same_term(row):
+            return row
+        return stored
+
     def _log_delay(self, reason: str) -> None:
         self.log.emit(
             Event.TAKEOVER_DELAYED,
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -15,6 +15,7 @@
 )
 from oriolearch.core.errors import PeerError
 from oriolearch.core.versions import StoreVersion
+from oriolearch.core.witnesses import LONG_AUTHORITY_S
 from oriolearch.leadership import Leadership
 from oriolearch.platform.daemon import HostDaemon
 from oriolearch.ports import StoredRow
@@ -491,6 +492,50 @@
     run_scenario(scenario, servers=5, hosts=4, era=1)
 
 
+def count_grants(installation: Installation) -> int:
+    return sum(len(server.fences) for server in installation.servers)
+
+
+async def end_term(installation: Installation) -> None:
+    """End the term; unlike a lost host, this one proves it to a successor."""
+    coordinator_host(installation).coordination.end_term('test')
+
+
+@pytest.mark.parametrize('end', [kill_at_once, end_term])
+def test_successor_in_turn_does_not_trust_outdated_owners(
+    end: Callable[[Installation], Awaitable[None]],
+) -> None:
+    """Guard against two servers that hold the same keys (OWNER).
+
+    A successor stored outdated owners in the new era, while a lost coordinator
+    might still act. The next successor granted them their keys at once.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        store = installation.store
+        await wait_for_witnesses(installation)
+        await wait_until_restored(installation)
+        copy = await move_keys(installation)
+        await end(installation)
+        restored_at = lease_clock()
+        store.restore(copy)
+        lost = copy.rows[OWNER_TABLE, 'orders']
+        await wait_for_coordinator(installation)
+        async with asyncio.timeout(RESTORED_S):
+            while store.rows[OWNER_TABLE, 'orders'] == lost:
+                await asyncio.sleep(0.02)
+        await end(installation)
+        granted = count_grants(installation)
+        await wait_for_coordinator(installation)
+        async with asyncio.timeout(RECOVER_S):
+            while count_grants(installation) == granted:
+                await asyncio.sleep(0.02)
+        assert lease_clock() >= restored_at + LONG_AUTHORITY_S
+        await installation.wait_until_all_served()
+
+    run_scenario(scenario, servers=5, hosts=4, era=1)
+
+
 def test_owners_are_written_again_before_a_planned_stop() -> None:
     """Guard against keys without service while a coordinator stops.
 
