Let hosts tell each other when the era of the store began

Cause: a host counts the end of lost terms from when it learned of the era itself. In the log, era 3 is seen at 19:55.4 by one host; the host that coordinates last was killed and learns of it at its start, 19:58.2. The keys of a server that the copy did not name came back at 20:13.4, 1.7 s before the limit, and were not all served by then.

Change: a host that connects tells the coordinator, and the coordinator with each heartbeat all hosts, how old the era is; each keeps the longest age. The age is measured before it is sent, so that the time which it names is never before the era began. A store that names no era: messages unchanged.

Test: test_hosts_tell_each_other_when_the_era_began, both cases failed before.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -124,7 +124,8 @@
         hosts, nor the store can be reached.
     :ivar is_store_restored: whether the store came back from an earlier copy
         since this host started.
-    :ivar era_seen_at: when this host learned of the present era of the store.
+    :ivar era_seen_at: when the first host that this one has heard of learned of
+        the present era of the store.
     :ivar takeovers: this host's attempts to become the coordinator.
     """
 
@@ -281,6 +282,22 @@
         """Return the present era of the store."""
         return self.relay.ledger.era
 
+    def era_age(self) -> Message:
+        """Return fields that name the present era, and its age in seconds.
+
+        They are empty for a store that names no era.
+        """
+        if not self.store_era():
+            return {}
+        age_s = lease_clock() - self.era_seen_at
+        return {'era': self.store_era(), 'era_age': round(age_s, 3)}
+
+    def _record_era_age(self, message: Message) -> None:
+        """Record that another host may have learned of the era earlier."""
+        if self.store_era() and message.get('era') == self.store_era():
+            seen_at = lease_clock() - float(message.get('era_age', 0))
+            self.era_seen_at = min(self.era_seen_at, seen_at)
+
     def _record_era(self, is_restored: bool) -> None:
         """Read all tables anew if the store came back from an earlier copy."""
         self.era_seen_at = lease_clock()
@@ -603,6 +620,7 @@
                     'run': self.nonce,
                     'ready': self._has_read_tables(),
                     **encode_versions(self.relay.versions()),
+                    **self.era_age(),
                 },
             )
             while row is self.row or self.row is None:
@@ -655,6 +673,7 @@
         if message.get('grants', True):
             self.granting_contact_at = self.last_contact_at
             self.forwarder.lapsed_leases.clear()
+        self._record_era_age(message)
         self._record_coordinator_tables(message)
         self._apply_hosts(message)
         was_stuck = self.is_coordinator_stuck
@@ -849,6 +868,7 @@
         leadership = await self._await_own_term()
         if leadership is None:
             return
+        self._record_era_age(hello)
         address = str(hello['address'])
         member = Member(
             address,
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -111,6 +111,9 @@
     def store_era(self) -> int:
         """Return the present era of the store."""
 
+    def era_age(self) -> Message:
+        """Return fields that name the present era, and its age in seconds."""
+
     def table_ages(self) -> dict[str, float]:
         """Return for how long each table was not known to be up to date."""
 
@@ -738,4 +741,5 @@
             'grants': self.has_authority(),
             'store_lost': self.members.is_store_lost,
             'ages': self.local_host.table_ages(),
+            **self.local_host.era_age(),
         }
--- a/src/oriolearch/takeovers.py
+++ b/src/oriolearch/takeovers.py
@@ -65,7 +65,7 @@
     :ivar peers: addresses of some of the other hosts.
     :ivar is_store_restored: whether the store came back from an earlier copy
         since the host started.
-    :ivar era_seen_at: when the host learned of the present era of the store.
+    :ivar era_seen_at: by then, the present era of the store had begun.
     """
 
     row: CoordinatorRow | None
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -36,6 +36,7 @@
 RECOVER_S = 20.0  # the longest authority and lease of a lost coordinator
 SERVED_S = 2.0  # until keys are served again after a planned change
 RESTORED_S = 2.0  # until a coordinator has written its rows again
+ERA_AGE_ERROR_S = 0.5  # includes the time between two hosts' polls
 REFILL_S = 0.15  # until the operator has written again
 ROUTES = [make_rule('order', 'unsafe', 1.2)]
 
@@ -270,6 +271,43 @@
     run_scenario(scenario, hosts=4, era=1)
 
 
+@pytest.mark.parametrize('is_coordinator', [False, True])
+def test_hosts_tell_each_other_when_the_era_began(is_coordinator: bool) -> None:
+    """Guard against a long gap after takeovers in turn (RECOVER).
+
+    A host that started after the return waited for the end of lost terms from
+    its own start.
+
+    :param is_coordinator: the host that learned of the era first.
+    """
+
+    async def scenario(installation: Installation) -> None:
+        await wait_until_restored(installation)
+        installation.store.restore(installation.store.copy())
+        await wait_until_restored(installation)
+        coordinator = coordinator_host(installation)
+        other = next(
+            host for host in installation.hosts if host is not coordinator
+        )
+        first = coordinator if is_coordinator else other
+        for host in installation.hosts:
+            if host is not first:
+                host.coordination.era_seen_at += 1000
+        began_at = first.coordination.era_seen_at
+        link = other.coordination.coordinator_link
+        assert link is not None
+        link.close()
+        await installation.add_host('h9')
+        async with asyncio.timeout(RESTORED_S):
+            while any(
+                abs(host.coordination.era_seen_at - began_at) > ERA_AGE_ERROR_S
+                for host in installation.hosts
+            ):
+                await asyncio.sleep(0.02)
+
+    run_scenario(scenario, hosts=3, era=1)
+
+
 def test_term_after_a_return_is_above_all_lost_ones() -> None:
     """Guard against a term that is given out again.
 
