Stop tracing memory when the test of endless responses fails

Cause of the second: the first left the tracing of memory on when it failed, so that its own peak, 42.9 MB, counted in the next one. Shown with a failure that was forced: both fail before, only the forced one after.

The first one itself: a request beside 60 endless ones in one event loop was not connected within 0.5 s. 10 of 10 runs alone passed, at load 10 to 14.

--- a/tests/test_upstream_links.py
+++ b/tests/test_upstream_links.py
@@ -391,15 +391,18 @@
     async def exercise(pool: LinkPool) -> None:
         pool.memory = ResponseMemory(MAX_PEAK_BYTES // 2)
         tracemalloc.start()
-        endless = [
-            asyncio.create_task(pool.exchange(REQUEST, 2.0)) for _ in range(60)
-        ]
-        await asyncio.sleep(1.0)
-        small = REQUEST.replace(b'/x', b'/small')
-        assert (await pool.exchange(small, 1.0)).body == b'ok'
-        await asyncio.gather(*endless, return_exceptions=True)
-        _, peak_bytes = tracemalloc.get_traced_memory()
-        tracemalloc.stop()
+        try:
+            endless = [
+                asyncio.create_task(pool.exchange(REQUEST, 2.0))
+                for _ in range(60)
+            ]
+            await asyncio.sleep(1.0)
+            small = REQUEST.replace(b'/x', b'/small')
+            assert (await pool.exchange(small, 1.0)).body == b'ok'
+            await asyncio.gather(*endless, return_exceptions=True)
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
         # The stand-in holds the one body that it sends to all.
         assert peak_bytes < MAX_PEAK_BYTES
         assert not pool.memory.held_bytes
