Encode owners, and bound the terms of earlier eras, in one place each

The two writers of a pool's row asked for the era to name and encoded the ranges each; Leadership.encode_owners does both. Takeovers computed by when terms of earlier eras are over beside Coordination, which has a method for it; now they call that one. No behaviour changes.

--- a/src/oriolearch/coordination.py
+++ b/src/oriolearch/coordination.py
@@ -282,6 +282,15 @@
         """Return the present era of the store."""
         return self.relay.ledger.era
 
+    def earlier_eras_over_at(self) -> float:
+        """Return by when terms are over that earlier eras confirmed last.
+
+        The store has confirmed none of them in its present era.
+        """
+        if not self.store_era():
+            return math.inf
+        return self.era_seen_at + LONG_AUTHORITY_S
+
     def era_age(self) -> Message:
         """Return fields that name the present era, and its age in seconds.
 
@@ -294,7 +303,7 @@
 
     def _record_era_age(self, message: Message) -> None:
         """Record that another host may have learned of the era earlier."""
-        if self.store_era() and message.get('era') == self.store_era():
+        if message.get('era') == self.store_era():
             seen_at = lease_clock() - float(message.get('era_age', 0))
             self.era_seen_at = min(self.era_seen_at, seen_at)
 
@@ -989,7 +998,7 @@
             predecessor,
             self.log,
             attempt.lost_over_at,
-            self._gaps_over_at(),
+            self.earlier_eras_over_at(),
         )
         self.leadership = leadership
         self._set_cut_off(False)
@@ -1016,12 +1025,6 @@
             # The era was not known, or changed, when the row was written.
             self._restore_rows(leadership)
 
-    def _gaps_over_at(self) -> float:
-        """Return by when terms of earlier eras are over that nobody names."""
-        if not self.store_era():
-            return math.inf
-        return self.era_seen_at + LONG_AUTHORITY_S
-
     def _log_abandoned_term(self, row: CoordinatorRow, reason: str) -> None:
         self.log.emit(
             Event.TAKEOVER,
--- a/src/oriolearch/core/ownership.py
+++ b/src/oriolearch/core/ownership.py
@@ -308,7 +308,7 @@
         return effects
 
     def require_rewrite(self, now: float) -> None:
-        """Require a write of all ranges, although none has changed."""
+        """Require a write of all ranges, whether or not they changed."""
         self.revision += 1
         self.store_after = now
 
--- a/src/oriolearch/leadership.py
+++ b/src/oriolearch/leadership.py
@@ -190,15 +190,16 @@
         """Record that the store may have lost rows of this term."""
         self.restoring_since = now
 
-    def owners_era(self, pool: str, era: int) -> int:
-        """Return the era that a pool's row names when it is written.
+    def encode_owners(self, pool: str, store: Store, era: int) -> bytes:
+        """Return the value that a write of the owners gives a pool's row.
 
-        While other upstreams may hold leases, it is an earlier one: a successor
-        must not trust the owners in the row.
+        While other upstreams may hold leases, it names an earlier era: a
+        successor must not trust the owners.
 
         :param era: the present era of the store.
         """
-        return era - 1 if pool in self.outdated_pools else era
+        known_era = era - 1 if pool in self.outdated_pools else era
+        return encode_ranges(store.ranges, store.revision, known_era)
 
     def begin_storing_pools(self, now: float) -> dict[str, Store]:
         """Return writes of the owners of all pools, whatever is stored."""
@@ -659,8 +660,7 @@
         effect: Effect,
     ) -> None:
         if isinstance(effect, Store):
-            era = self.owners_era(pool, self.row.era)
-            value = encode_ranges(effect.ranges, effect.revision, era)
+            value = self.encode_owners(pool, effect, self.row.era)
             self.local_host.spawn(
                 self._store(pool, ownership, effect.revision, value)
             )
--- a/src/oriolearch/restoring.py
+++ b/src/oriolearch/restoring.py
@@ -24,7 +24,6 @@
     OWNER_TABLE,
     WITNESS_ROW,
     CoordinatorRow,
-    encode_ranges,
 )
 from oriolearch.core.errors import PlatformError
 from oriolearch.core.versions import ABSENT, StoreVersion, VersionLedger
@@ -112,7 +111,8 @@
     async def _write(self) -> None:
         """Write all rows; the coordinator row last.
 
-        A successor that finds it in the present era trusts the others.
+        A successor that finds it in the present era trusts the others, but for
+        owners whose row names an earlier era.
         """
         leadership = self.leadership
         era = self.ledger.era
@@ -124,8 +124,8 @@
         )
         stores = leadership.begin_storing_pools(sent_at)
         writes = {
-            RowName(OWNER_TABLE, pool): encode_ranges(
-                store.ranges, store.revision, leadership.owners_era(pool, era)
+            RowName(OWNER_TABLE, pool): leadership.encode_owners(
+                pool, store, era
             )
             for pool, store in stores.items()
         }
--- a/src/oriolearch/takeovers.py
+++ b/src/oriolearch/takeovers.py
@@ -18,11 +18,7 @@
     PlatformError,
 )
 from oriolearch.core.versions import StoreVersion
-from oriolearch.core.witnesses import (
-    LONG_AGO,
-    LONG_AUTHORITY_S,
-    decode_witnesses,
-)
+from oriolearch.core.witnesses import LONG_AGO, decode_witnesses
 from oriolearch.eventlog import Event, EventLog
 from oriolearch.leadership import Leadership
 from oriolearch.members import HostIdentity
@@ -79,6 +75,9 @@
     def store_era(self) -> int:
         """Return the present era of the store."""
 
+    def earlier_eras_over_at(self) -> float:
+        """Return by when terms are over that earlier eras confirmed last."""
+
     def is_row_restored(self) -> bool:
         """Return whether the store may have lost the row of a later term."""
 
@@ -203,12 +202,9 @@
         return 'other hosts follow a coordinator' if any(terms) else ''
 
     def _lost_over_at(self) -> float:
-        """Return by when terms are over whose rows the store may have lost.
-
-        The store has confirmed none of them in its present era.
-        """
+        """Return by when terms are over whose rows the store may have lost."""
         if self.successor.is_row_restored():
-            return self.successor.era_seen_at + LONG_AUTHORITY_S
+            return self.successor.earlier_eras_over_at()
         return LONG_AGO
 
     def _next_term(self) -> int:
